--- /dev/null
+++ b/finding/finding.go
@@ -0,0 +1,67 @@
+// Package finding collects what is wrong with an input, each fault with its
+// place, so that one pass reports all of them together.
+//
+// It owns the List type. It must not import any other package of this module.
+//
+// # Usage
+//
+//	var list finding.List
+//	list.Add("inventory.toml", "targets[3].address", "a host name where an IP number belongs")
+//	return list.Err()
+package finding
+
+import (
+	"fmt"
+	"strings"
+)
+
+// A Finding represents one fault of an input.
+type Finding struct {
+	file   string
+	key    string
+	detail string
+}
+
+// String returns "file: key: detail".
+func (f Finding) String() string {
+	if f.key == "" {
+		return fmt.Sprintf("%s: %s", f.file, f.detail)
+	}
+	return fmt.Sprintf("%s: %s: %s", f.file, f.key, f.detail)
+}
+
+// A List represents the findings of one check, in the order they were made.
+// The zero value is an empty list.
+type List struct {
+	findings []Finding
+}
+
+// Add records a fault at key of file. The detail is formatted as by fmt.Sprintf.
+func (l *List) Add(file, key, detail string, args ...any) {
+	l.findings = append(l.findings, Finding{file: file, key: key, detail: fmt.Sprintf(detail, args...)})
+}
+
+// Merge appends the findings of other.
+func (l *List) Merge(other *List) {
+	l.findings = append(l.findings, other.findings...)
+}
+
+// Len returns the number of findings.
+func (l *List) Len() int { return len(l.findings) }
+
+// Lines returns one line per finding.
+func (l *List) Lines() []string {
+	lines := make([]string, 0, len(l.findings))
+	for _, f := range l.findings {
+		lines = append(lines, f.String())
+	}
+	return lines
+}
+
+// Err returns nil for an empty list, or else one error that holds every line.
+func (l *List) Err() error {
+	if len(l.findings) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d findings:\n%s", len(l.findings), strings.Join(l.Lines(), "\n"))
+}
--- /dev/null
+++ b/storage/folder.go
@@ -0,0 +1,245 @@
+// Package storage keeps a voter's log and snapshot in one data folder.
+//
+// It owns the files and their format. Nothing counts as stored before Sync has
+// returned nil; after any failed write or sync the folder refuses further work,
+// because what the disk then holds is unknown. It must not import quorum or
+// control: it stores their messages and does not interpret them.
+//
+// Files: "lock" (held for the life of the process), "log" (records) and
+// "snapshot" (one record). A record is a header of three little-endian 32-bit
+// words (payload length, payload checksum, checksum of the first two words) and
+// the payload, a protobuf message. Checksums are CRC-32C.
+//
+// # Usage
+//
+//	folder, err := storage.Open("/var/lib/auburnscale")
+//	hard, entries, snapshot := folder.Loaded()
+//	err = folder.Append(hard, entries)
+//	err = folder.Sync()
+package storage
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"google.golang.org/protobuf/proto"
+
+	"auburnscale/peer"
+)
+
+const (
+	lockName     = "lock"
+	logName      = "log"
+	snapshotName = "snapshot"
+
+	filePermissions   = 0o600
+	folderPermissions = 0o700
+)
+
+// A Folder represents an open data folder. It is not safe for concurrent use;
+// its single owner is the voter's run loop.
+type Folder struct {
+	path     string
+	lock     *os.File
+	log      *os.File
+	size     int64
+	failed   error
+	hard     *peer.Hard
+	entries  []*peer.Entry
+	snapshot *peer.Snapshot
+}
+
+// Open locks the folder at path, creating it if it is missing, and reads what it
+// holds. A torn tail of the log is cut. A damaged record with intact records
+// behind it, or a damaged snapshot, is an error that names the file and offset.
+func Open(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, folderPermissions); err != nil {
+		return nil, fmt.Errorf("create data folder: %w", err)
+	}
+	f := &Folder{path: path}
+	if err := f.acquire(); err != nil {
+		return nil, err
+	}
+	if err := f.load(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Loaded returns what Open found: the hard state (nil if none), the log entries
+// after the snapshot, and the snapshot (nil if none).
+func (f *Folder) Loaded() (*peer.Hard, []*peer.Entry, *peer.Snapshot) {
+	return f.hard, f.entries, f.snapshot
+}
+
+// Close releases the folder. It does not sync.
+func (f *Folder) Close() {
+	if f.log != nil {
+		f.log.Close()
+	}
+	f.lock.Close()
+}
+
+// Append writes the hard state, if not nil, and the entries. An entry replaces
+// every stored entry with the same or a higher index.
+func (f *Folder) Append(hard *peer.Hard, entries []*peer.Entry) error {
+	if f.failed != nil {
+		return f.failed
+	}
+	var buffer []byte
+	var err error
+	if hard != nil {
+		f.hard = hard
+		buffer, err = appendRecord(buffer, &peer.Record{Body: &peer.Record_Hard{Hard: hard}})
+		if err != nil {
+			return err
+		}
+	}
+	for _, e := range entries {
+		buffer, err = appendRecord(buffer, &peer.Record{Body: &peer.Record_Entry{Entry: e}})
+		if err != nil {
+			return err
+		}
+	}
+	return f.write(buffer)
+}
+
+// Sync makes everything appended so far durable.
+func (f *Folder) Sync() error {
+	if f.failed != nil {
+		return f.failed
+	}
+	if err := f.log.Sync(); err != nil {
+		return f.fail(fmt.Errorf("sync %s: %w", f.file(logName), err))
+	}
+	return nil
+}
+
+// SaveSnapshot stores the snapshot and rewrites the log so that it holds the
+// hard state and rest, the entries after the snapshot. Both are durable when
+// SaveSnapshot returns nil.
+func (f *Folder) SaveSnapshot(s *peer.Snapshot, rest []*peer.Entry) error {
+	if f.failed != nil {
+		return f.failed
+	}
+	data, err := appendRecord(nil, s)
+	if err != nil {
+		return err
+	}
+	if err := f.replace(snapshotName, data); err != nil {
+		return f.fail(err)
+	}
+	return f.rewriteLog(rest)
+}
+
+func (f *Folder) rewriteLog(rest []*peer.Entry) error {
+	var data []byte
+	var err error
+	if f.hard != nil {
+		data, err = appendRecord(data, &peer.Record{Body: &peer.Record_Hard{Hard: f.hard}})
+		if err != nil {
+			return err
+		}
+	}
+	for _, e := range rest {
+		data, err = appendRecord(data, &peer.Record{Body: &peer.Record_Entry{Entry: e}})
+		if err != nil {
+			return err
+		}
+	}
+	if err := f.replace(logName, data); err != nil {
+		return f.fail(err)
+	}
+	f.log.Close()
+	return f.openLog()
+}
+
+func (f *Folder) acquire() error {
+	lock, err := os.OpenFile(f.file(lockName), os.O_CREATE|os.O_RDWR, filePermissions)
+	if err != nil {
+		return fmt.Errorf("open lock: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		return fmt.Errorf("data folder %s is in use by another process: %w", f.path, err)
+	}
+	f.lock = lock
+	return nil
+}
+
+func (f *Folder) write(buffer []byte) error {
+	n, err := f.log.Write(buffer)
+	f.size += int64(n)
+	if err != nil {
+		return f.fail(fmt.Errorf("write %s: %w", f.file(logName), err))
+	}
+	return nil
+}
+
+// replace writes a file beside the old one, syncs it, renames it over the old
+// one and syncs the folder, so that a crash leaves either the old or the new.
+func (f *Folder) replace(name string, data []byte) error {
+	temporary := f.file(name + ".new")
+	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermissions)
+	if err != nil {
+		return fmt.Errorf("create %s: %w", temporary, err)
+	}
+	defer file.Close()
+	if _, err := file.Write(data); err != nil {
+		return fmt.Errorf("write %s: %w", temporary, err)
+	}
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("sync %s: %w", temporary, err)
+	}
+	if err := os.Rename(temporary, f.file(name)); err != nil {
+		return fmt.Errorf("rename %s: %w", temporary, err)
+	}
+	return f.syncFolder()
+}
+
+func (f *Folder) syncFolder() error {
+	folder, err := os.Open(f.path)
+	if err != nil {
+		return fmt.Errorf("open data folder: %w", err)
+	}
+	defer folder.Close()
+	if err := folder.Sync(); err != nil {
+		return fmt.Errorf("sync data folder: %w", err)
+	}
+	return nil
+}
+
+func (f *Folder) openLog() error {
+	log, err := os.OpenFile(f.file(logName), os.O_CREATE|os.O_RDWR|os.O_APPEND, filePermissions)
+	if err != nil {
+		return f.fail(fmt.Errorf("open log: %w", err))
+	}
+	f.log = log
+	info, err := log.Stat()
+	if err != nil {
+		return f.fail(fmt.Errorf("stat log: %w", err))
+	}
+	f.size = info.Size()
+	return nil
+}
+
+func (f *Folder) fail(err error) error {
+	f.failed = err
+	return err
+}
+
+func (f *Folder) file(name string) string { return filepath.Join(f.path, name) }
+
+// Size returns the length of the log file in bytes.
+func (f *Folder) Size() int64 { return f.size }
+
+func marshal(m proto.Message) ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	return data, nil
+}
