--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,345 @@
+// Package admit decides when a request may go to a target, and which of the
+// waiting ones goes first.
+//
+// It owns one queue per service. Workspaces share it by weighted fair queueing
+// in tokens of work, prefill and decode priced apart. A request that cannot make
+// its time is refused at once, with the time at which to come back. It must not
+// choose targets.
+//
+// # Usage
+//
+//	queue := admit.New(admit.Config{...}, room)
+//	ticket, err := queue.Enter(ctx, admit.Request{Workspace: "guild", Weight: 2, Work: 900})
+//	defer ticket.Leave()
+package admit
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+)
+
+// Room tells whether the targets are estimated to take another request, and how
+// many they run at once.
+type Room interface {
+	HasRoom() bool
+	Capacity() (slots, requests int64)
+}
+
+// Config holds a queue's bounds.
+type Config struct {
+	// Fair selects fair queueing; otherwise first in, first out.
+	Fair bool
+	// MaxWait is the longest predicted wait that is accepted.
+	MaxWait time.Duration
+	// MaxQueue bounds the waiting requests.
+	MaxQueue int
+}
+
+// A Request represents what admission needs to know of a request.
+type Request struct {
+	Workspace string
+	Weight    float64
+	// Work is the request's price in tokens.
+	Work float64
+}
+
+// A Refusal represents a request that was not admitted. No byte of it has been
+// sent anywhere.
+type Refusal struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// Error returns the reason.
+func (r *Refusal) Error() string { return r.reason }
+
+// RetryAfter returns when to come back.
+func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
+
+const (
+	// decodePrice is what a token of output costs relative to one of prompt:
+	// a batch decodes one token of each stream in about the time that it
+	// prefills this many.
+	decodePrice = 4.0
+	// smoothing is the weight of a new service time in its average.
+	smoothing = 0.05
+	// firstServiceTime holds until requests have ended.
+	firstServiceTime = time.Second
+	// priorityStep is how much more than its fair share, in doublings, makes
+	// one step of priority.
+	priorityLevels = 8
+	// usageHalfLife is how fast past use is forgotten for priorities.
+	usageHalfLife = 10 * time.Second
+)
+
+// Work returns the price of a request in tokens.
+func Work(promptTokens, outputTokens int64) float64 {
+	return float64(promptTokens) + decodePrice*float64(outputTokens)
+}
+
+// A Queue represents the waiting requests of one service on one instance.
+type Queue struct {
+	config Config
+
+	mutex    sync.Mutex
+	room     Room
+	waiting  waitHeap
+	sequence uint64
+	virtual  float64
+	spaces   map[string]*space
+	running  int
+	service  time.Duration
+}
+
+type space struct {
+	finish float64
+	used   float64
+	at     time.Time
+	weight float64
+}
+
+// A Ticket represents an admitted request.
+type Ticket struct {
+	queue    *Queue
+	space    *space
+	priority int
+	began    time.Time
+	work     float64
+	once     sync.Once
+
+	start    float64
+	sequence uint64
+	index    int
+	admitted chan struct{}
+	gone     bool
+}
+
+// New returns an empty queue before the room.
+func New(config Config, room Room) *Queue {
+	return &Queue{config: config, room: room, spaces: map[string]*space{}, service: firstServiceTime}
+}
+
+// SetRoom replaces the room after the service's targets changed.
+func (q *Queue) SetRoom(room Room) {
+	q.mutex.Lock()
+	q.room = room
+	q.mutex.Unlock()
+	q.Pump()
+}
+
+// Enter waits until the request may go to a target. It returns a Refusal at once
+// if the predicted wait is too long, and the context's error if that ends first.
+func (q *Queue) Enter(ctx context.Context, r Request) (*Ticket, error) {
+	t, err := q.join(r, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-t.admitted:
+		return t, nil
+	case <-ctx.Done():
+		q.abandon(t)
+		return nil, &Refusal{reason: "the deadline passed while the request waited for a target", retryAfter: time.Second}
+	}
+}
+
+func (q *Queue) join(r Request, now time.Time) (*Ticket, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	s := q.space(r, now)
+	if len(q.waiting) == 0 && q.room.HasRoom() {
+		return q.admitNow(q.ticket(s, r, now)), nil
+	}
+	t := q.ticket(s, r, now)
+	if err := q.predict(t); err != nil {
+		return nil, err
+	}
+	s.finish = t.start + r.Work/s.weight
+	heap.Push(&q.waiting, t)
+	q.pumpLocked()
+	return t, nil
+}
+
+func (q *Queue) space(r Request, now time.Time) *space {
+	s := q.spaces[r.Workspace]
+	if s == nil {
+		s = &space{at: now}
+		q.spaces[r.Workspace] = s
+	}
+	s.weight = max(r.Weight, math.SmallestNonzeroFloat32)
+	return s
+}
+
+// ticket gives the request its place: it starts when its workspace's earlier
+// requests have had their share, but not before the present virtual time.
+func (q *Queue) ticket(s *space, r Request, now time.Time) *Ticket {
+	q.sequence++
+	t := &Ticket{queue: q, space: s, began: now, work: r.Work, sequence: q.sequence, admitted: make(chan struct{})}
+	if q.config.Fair {
+		t.start = max(q.virtual, s.finish)
+	}
+	return t
+}
+
+func (q *Queue) admitNow(t *Ticket) *Ticket {
+	t.space.finish = t.start + t.work/t.space.weight
+	q.dispatch(t)
+	return t
+}
+
+// predict refuses a request that cannot start within MaxWait, judged by the
+// requests ahead of it and the rate at which slots come free.
+func (q *Queue) predict(t *Ticket) error {
+	if len(q.waiting) >= q.config.MaxQueue {
+		return &Refusal{reason: fmt.Sprintf("%d requests wait already", len(q.waiting)), retryAfter: q.wait(len(q.waiting))}
+	}
+	ahead := 0
+	for _, w := range q.waiting {
+		if w.before(t) {
+			ahead++
+		}
+	}
+	wait := q.wait(ahead + 1)
+	if wait > q.config.MaxWait {
+		return &Refusal{reason: fmt.Sprintf("the request would wait %v for a target", wait.Round(time.Millisecond)), retryAfter: wait}
+	}
+	return nil
+}
+
+// wait predicts the time until so many requests have started. Only the part of
+// the slots that this instance fills comes free for it.
+func (q *Queue) wait(ahead int) time.Duration {
+	share := max(1, q.running)
+	return time.Duration(float64(q.service) * float64(ahead) / float64(share))
+}
+
+// Pump admits waiting requests while there is room. It is called when a request
+// ends and when a target reports.
+func (q *Queue) Pump() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.pumpLocked()
+}
+
+func (q *Queue) pumpLocked() {
+	for len(q.waiting) > 0 && q.room.HasRoom() && q.running < q.limit() {
+		t := heap.Pop(&q.waiting).(*Ticket)
+		q.dispatch(t)
+	}
+}
+
+// limit keeps one pump from admitting more than the fleet can take before the
+// admitted requests show in the targets' counters.
+func (q *Queue) limit() int {
+	slots, _ := q.room.Capacity()
+	return int(slots)
+}
+
+func (q *Queue) dispatch(t *Ticket) {
+	q.virtual = max(q.virtual, t.start)
+	q.running++
+	t.priority = q.priority(t.space, t.work, time.Now())
+	close(t.admitted)
+}
+
+// priority grows with how far the workspace is above its fair share of recent
+// work. Engines run low numbers first, so that fairness holds between instances
+// that do not see each other's queues.
+func (q *Queue) priority(s *space, work float64, now time.Time) int {
+	s.decay(now)
+	s.used += work
+	total, weights := 0.0, 0.0
+	for _, other := range q.spaces {
+		other.decay(now)
+		if other.used > 1 {
+			total += other.used
+			weights += other.weight
+		}
+	}
+	fair := total * s.weight / max(weights, s.weight)
+	if fair <= 0 || s.used <= fair {
+		return 0
+	}
+	return min(priorityLevels-1, int(math.Ceil(math.Log2(s.used/fair)*2)))
+}
+
+func (s *space) decay(now time.Time) {
+	elapsed := now.Sub(s.at)
+	if elapsed <= 0 {
+		return
+	}
+	s.used *= math.Exp2(-float64(elapsed) / float64(usageHalfLife))
+	s.at = now
+}
+
+func (q *Queue) abandon(t *Ticket) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	select {
+	case <-t.admitted:
+		q.leaveLocked(t)
+	default:
+		heap.Remove(&q.waiting, t.index)
+	}
+}
+
+// Priority returns the engine priority, 0 first.
+func (t *Ticket) Priority() int { return t.priority }
+
+// Leave gives the place back. It may be called more than once.
+func (t *Ticket) Leave() {
+	t.once.Do(func() {
+		t.queue.mutex.Lock()
+		defer t.queue.mutex.Unlock()
+		t.queue.leaveLocked(t)
+		t.queue.pumpLocked()
+	})
+}
+
+func (q *Queue) leaveLocked(t *Ticket) {
+	q.running--
+	took := float64(time.Since(t.began))
+	q.service = time.Duration((1-smoothing)*float64(q.service) + smoothing*took)
+}
+
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return len(q.waiting)
+}
+
+func (t *Ticket) before(other *Ticket) bool {
+	if t.start != other.start {
+		return t.start < other.start
+	}
+	return t.sequence < other.sequence
+}
+
+type waitHeap []*Ticket
+
+func (h waitHeap) Len() int           { return len(h) }
+func (h waitHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h waitHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push adds a ticket, for container/heap.
+func (h *waitHeap) Push(x any) {
+	t := x.(*Ticket)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop removes the last ticket, for container/heap.
+func (h *waitHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return t
+}
--- /dev/null
+++ b/authority/duties.go
@@ -0,0 +1,163 @@
+package authority
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnscale/control"
+	"auburnscale/event"
+	"auburnscale/peer"
+	"auburnscale/platform"
+)
+
+// Counters is what the duties need of the table of instances.
+type Counters interface {
+	Counters(window int64) []*peer.Counter
+	DropSettled()
+	EveryoneSince(at time.Time) bool
+}
+
+// Planner says which actions are wanted now.
+type Planner interface {
+	Wanted(now time.Time) []Action
+}
+
+// dutyInterval is the time between two looks at what is to be done.
+const dutyInterval = 500 * time.Millisecond
+
+// DutiesConfig holds the timing of usage windows.
+type DutiesConfig struct {
+	Window time.Duration
+	Grace  time.Duration
+	// PlatformFenced is true if the platform refuses an older epoch.
+	PlatformFenced bool
+	// Reports is false if there is no platform to report to.
+	Reports bool
+}
+
+// Duties represents the leader's regular work: open intents are resolved, usage
+// windows closed and reported, and planned actions taken.
+type Duties struct {
+	config    DutiesConfig
+	authority *Authority
+	counters  Counters
+	planner   Planner
+	logger    *event.Logger
+	since     time.Time
+	stop      chan struct{}
+	done      chan struct{}
+	stopOnce  sync.Once
+}
+
+// NewDuties returns the duties of a voter. They rest while it holds no lease.
+func NewDuties(config DutiesConfig, a *Authority, counters Counters, planner Planner, logger *event.Logger) *Duties {
+	return &Duties{
+		config: config, authority: a, counters: counters, planner: planner, logger: logger,
+		stop: make(chan struct{}), done: make(chan struct{}),
+	}
+}
+
+// Start runs the loop.
+func (d *Duties) Start() { go d.run() }
+
+// Stop ends the loop and waits for it.
+func (d *Duties) Stop() {
+	d.stopOnce.Do(func() { close(d.stop) })
+	<-d.done
+}
+
+func (d *Duties) run() {
+	defer close(d.done)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.cancelOnStop(cancel)
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case <-ticker.C:
+			d.pass(ctx, time.Now())
+		}
+	}
+}
+
+func (d *Duties) cancelOnStop(cancel context.CancelFunc) {
+	<-d.stop
+	cancel()
+}
+
+func (d *Duties) pass(ctx context.Context, now time.Time) {
+	if !d.authority.voter.MayAct() {
+		d.since = time.Time{}
+		return
+	}
+	if d.since.IsZero() {
+		d.since = now
+	}
+	d.authority.Resolve(ctx)
+	if d.config.Reports {
+		d.closeWindow(ctx, now)
+		d.report(ctx)
+	}
+	for _, action := range d.planner.Wanted(now) {
+		_ = d.authority.Act(ctx, action)
+	}
+}
+
+// closeWindow commits the figures of the last window that ended, once its grace
+// is over and every living instance has sent its counters since the window's
+// end. A new leader first waits a grace, in which the instances find it.
+func (d *Duties) closeWindow(ctx context.Context, now time.Time) {
+	window := now.Add(-d.config.Grace).Truncate(d.config.Window).Add(-d.config.Window)
+	end := window.Add(d.config.Window)
+	if now.Sub(d.since) < d.config.Grace || !d.counters.EveryoneSince(end) {
+		return
+	}
+	var last int64
+	d.authority.voter.Read(func(m *control.Machine) { last = m.SettledWindow() })
+	if window.UnixMilli() <= last {
+		return
+	}
+	counters := d.counters.Counters(window.UnixMilli())
+	_, err := d.authority.propose(ctx, &peer.Command{Actor: d.authority.voter.Incarnation(), Body: &peer.Command_CloseWindow{
+		CloseWindow: &peer.CloseWindow{Window: window.UnixMilli(), Counters: counters},
+	}})
+	if err != nil {
+		return
+	}
+	d.counters.DropSettled()
+	d.logger.Log(event.WindowClosed, zap.Int64("window", window.UnixMilli()), zap.Int("counters", len(counters)))
+}
+
+// report sends the oldest window that the platform has not acknowledged.
+func (d *Duties) report(ctx context.Context) {
+	var window *peer.Window
+	d.authority.voter.Read(func(m *control.Machine) { window = m.UnreportedWindow() })
+	if window == nil {
+		return
+	}
+	id := control.WindowIntentID(window.Window)
+	payload, err := platform.Encode(usageReport(id, window))
+	if err != nil {
+		d.logger.Log(event.ActionRefused, zap.String("intent", id), zap.Error(err))
+		return
+	}
+	_ = d.authority.Act(ctx, Action{
+		ID: id, Target: control.UsageTarget, Kind: control.UsageIntent, Payload: payload, Fenced: d.config.PlatformFenced,
+	})
+}
+
+func usageReport(id string, window *peer.Window) platform.UsageReport {
+	report := platform.UsageReport{ID: id, Window: window.Window, Figures: []platform.UsageLine{}}
+	for _, f := range window.Figures {
+		report.Figures = append(report.Figures, platform.UsageLine{
+			Workspace: f.Workspace, PromptTokens: f.PromptTokens, OutputTokens: f.OutputTokens, Requests: f.Requests, Cost: f.Cost,
+		})
+	}
+	return report
+}
--- /dev/null
+++ b/caller/claim.go
@@ -0,0 +1,114 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"auburnscale/control"
+	"auburnscale/peer"
+	"auburnscale/service"
+)
+
+const (
+	lateQueue   = 1024
+	lateTimeout = 30 * time.Second
+	// closeTimeout bounds how long an answer waits for its outcome to be stored.
+	closeTimeout = 2 * time.Second
+)
+
+// A claimer closes claims. One that cannot be closed in time, because no control
+// leader is reached, is closed later; until then a resend is told that the
+// outcome is not known.
+type claimer struct {
+	proposer Proposer
+	late     chan lateClose
+	stop     chan struct{}
+	done     chan struct{}
+	once     sync.Once
+	started  bool
+}
+
+type lateClose struct {
+	command *peer.Command
+}
+
+func newClaimer(proposer Proposer) *claimer {
+	return &claimer{proposer: proposer, late: make(chan lateClose, lateQueue), stop: make(chan struct{}), done: make(chan struct{})}
+}
+
+func (c *claimer) start() {
+	c.started = true
+	go c.run()
+}
+
+func (c *claimer) stopAndWait() {
+	c.once.Do(func() { close(c.stop) })
+	if c.started {
+		<-c.done
+	}
+}
+
+func (c *claimer) run() {
+	defer close(c.done)
+	for {
+		select {
+		case l := <-c.late:
+			c.propose(l.command, lateTimeout)
+		case <-c.stop:
+			c.flush()
+			return
+		}
+	}
+}
+
+// flush gives each waiting close one short try at a planned stop.
+func (c *claimer) flush() {
+	for {
+		select {
+		case l := <-c.late:
+			c.propose(l.command, closeTimeout)
+		default:
+			return
+		}
+	}
+}
+
+func (c *claimer) propose(command *peer.Command, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_, _ = c.proposer.Propose(ctx, command)
+}
+
+// close stores the outcome before the caller gets it.
+func (c *claimer) close(_ context.Context, s *Server, claimed *call, outcome *peer.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if _, err := s.parts.Proposer.Propose(ctx, closeCommand(claimed, outcome)); err != nil {
+		c.later(claimed, outcome)
+	}
+}
+
+// later closes the claim when a control leader is reached again. A full queue
+// drops it: then resends hear that the outcome is not known, which is true.
+func (c *claimer) later(claimed *call, outcome *peer.Outcome) {
+	select {
+	case c.late <- lateClose{command: closeCommand(claimed, outcome)}:
+	default:
+	}
+}
+
+func closeCommand(claimed *call, outcome *peer.Outcome) *peer.Command {
+	return &peer.Command{Body: &peer.Command_CloseClaim{CloseClaim: &peer.CloseClaim{
+		Workspace: claimed.who.workspace.Name, Key: claimed.key, Owner: claimed.id, Outcome: outcome,
+	}}}
+}
+
+func outcomeOf(answer *service.Answer) *peer.Outcome {
+	outcome := &peer.Outcome{Status: int32(answer.Status()), ContentType: answer.ContentType(), Body: answer.Body()}
+	if len(outcome.Body) > control.MaxOutcomeBytes {
+		outcome.Body = nil
+		outcome.BodyDropped = true
+	}
+	return outcome
+}
--- /dev/null
+++ b/command/operate.go
@@ -0,0 +1,285 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"auburnscale/inventory"
+	"auburnscale/operator"
+)
+
+func applyCommand(out io.Writer) *cobra.Command {
+	var a access
+	var q operator.ApplyRequest
+	var inventoryFile, rulesFile string
+	c := &cobra.Command{
+		Use: "apply --version N --inventory FILE --rules FILE", Short: "put an inventory and rules in force", Args: cobra.NoArgs,
+		Long: "Apply is compare-and-set: N must follow the version in force. Sending the same files under the same\nnumber again gives the first answer; other files under a taken number are a conflict.",
+	}
+	a.flags(c)
+	c.Flags().Uint64Var(&q.Version, "version", 0, "number of the new configuration")
+	c.Flags().StringVar(&inventoryFile, "inventory", "", "inventory file")
+	c.Flags().StringVar(&rulesFile, "rules", "", "rules file")
+	for _, name := range []string{"version", "inventory", "rules"} {
+		_ = c.MarkFlagRequired(name)
+	}
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		inventoryTOML, err := os.ReadFile(inventoryFile)
+		if err != nil {
+			return err
+		}
+		rulesTOML, err := os.ReadFile(rulesFile)
+		if err != nil {
+			return err
+		}
+		q.Inventory, q.Rules, q.Actor = string(inventoryTOML), string(rulesTOML), a.actor
+		client, err := a.client()
+		if err != nil {
+			return err
+		}
+		answer, err := client.Apply(c.Context(), q)
+		return printChange(out, answer, err)
+	}
+	return c
+}
+
+// printChange prints what became of a change and where it is in force.
+func printChange(out io.Writer, answer *operator.ChangeAnswer, err error) error {
+	if err != nil {
+		return err
+	}
+	for _, line := range answer.Findings {
+		fmt.Fprintln(out, line)
+	}
+	if !answer.Accepted {
+		fmt.Fprintln(out, "refused:", answer.Detail)
+		return errReported
+	}
+	fmt.Fprintln(out, answer.Detail)
+	printNames(out, "in force at", answer.InForce)
+	printNames(out, "not yet in force at", answer.Waiting)
+	printNames(out, "not heard (cut off or down)", answer.Silent)
+	return nil
+}
+
+func printNames(out io.Writer, label string, names []string) {
+	if len(names) > 0 {
+		fmt.Fprintf(out, "%s: %s\n", label, strings.Join(names, ", "))
+	}
+}
+
+func statusCommand(out io.Writer) *cobra.Command {
+	var a access
+	var asJSON bool
+	c := &cobra.Command{Use: "status", Short: "show instances, voters, targets and open actions", Args: cobra.NoArgs}
+	a.flags(c)
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		client, err := a.client()
+		if err != nil {
+			return err
+		}
+		status, err := client.Status(c.Context())
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			encoder := json.NewEncoder(out)
+			encoder.SetIndent("", "  ")
+			return encoder.Encode(status)
+		}
+		printStatus(out, status)
+		return nil
+	}
+	return c
+}
+
+func printStatus(out io.Writer, s *operator.Status) {
+	fmt.Fprintf(out, "configuration %d, revision %d, leader %d in term %d, voters %v, learners %v\n", s.Version, s.Revision, s.Leader, s.Term, s.Voters, s.Learners)
+	if !s.Fresh {
+		fmt.Fprintf(out, "instance %s does not hear the control group; this is its own view\n", s.Asked)
+	}
+	printNames(out, "drained", s.Drains)
+	printNames(out, "withdrawn keys", s.Withdrawn)
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "instance\tfailure domain\talive\tdraining\tversion\tsilent ms")
+	for _, m := range s.Members {
+		fmt.Fprintf(table, "%s\t%s\t%t\t%t\t%d\t%d\n", m.Instance, m.FailureDomain, m.Alive, m.Draining, m.Version, m.SilentMs)
+	}
+	fmt.Fprintln(table, "target\tservice\tup\trole\tin flight here\trequests")
+	for _, t := range s.Targets {
+		fmt.Fprintf(table, "%s\t%s\t%t\t%s\t%d\t%d\n", t.Name, t.Service, t.Up, t.Role, t.InFlight, t.Requests)
+	}
+	_ = table.Flush()
+	for _, i := range s.Intents {
+		fmt.Fprintf(out, "open action %s on %s, epoch %d, answered %t, issuers %s\n", i.ID, i.Target, i.Epoch, i.Done, strings.Join(i.Issuers, ", "))
+	}
+}
+
+func trailCommand(out io.Writer) *cobra.Command {
+	var a access
+	var after uint64
+	var limit int
+	c := &cobra.Command{Use: "trail", Short: "print the audit trail of changes", Args: cobra.NoArgs}
+	a.flags(c)
+	c.Flags().Uint64Var(&after, "after", 0, "print entries behind this index")
+	c.Flags().IntVar(&limit, "limit", 1000, "most entries to print")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		client, err := a.client()
+		if err != nil {
+			return err
+		}
+		lines, err := client.Trail(c.Context(), after, limit)
+		if err != nil {
+			return err
+		}
+		table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+		for _, l := range lines {
+			at := time.UnixMilli(l.AtMs).UTC().Format(time.RFC3339)
+			fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%s\n", l.Index, at, l.Actor, l.Action, l.Subject, l.Result)
+		}
+		return table.Flush()
+	}
+	return c
+}
+
+func keyCommand(out io.Writer) *cobra.Command {
+	c := &cobra.Command{Use: "key", Short: "make and withdraw callers' keys"}
+	c.AddCommand(keyNewCommand(out), keyWithdrawCommand(out))
+	return c
+}
+
+func keyNewCommand(out io.Writer) *cobra.Command {
+	var workspace, id string
+	c := &cobra.Command{Use: "new", Short: "make a key and print it with the table for the inventory", Args: cobra.NoArgs}
+	c.Flags().StringVar(&workspace, "workspace", "", "workspace the key belongs to")
+	c.Flags().StringVar(&id, "id", "", "id of the key, without a dot")
+	_ = c.MarkFlagRequired("workspace")
+	_ = c.MarkFlagRequired("id")
+	c.RunE = func(*cobra.Command, []string) error {
+		if strings.Contains(id, ".") {
+			return &usageError{fmt.Errorf("the id %q holds a dot", id)}
+		}
+		const secretBytes = 24
+		var secret [secretBytes]byte
+		if _, err := rand.Read(secret[:]); err != nil {
+			return fmt.Errorf("draw a secret: %w", err)
+		}
+		key := id + "." + hex.EncodeToString(secret[:])
+		fmt.Fprintf(out, "# for the caller, shown once:\n# %s\n\n[[keys]]\nid = %q\nworkspace = %q\nhash = %q\n", key, id, workspace, inventory.HashKey(key))
+		return nil
+	}
+	return c
+}
+
+func keyWithdrawCommand(out io.Writer) *cobra.Command {
+	var a access
+	var q operator.WithdrawRequest
+	c := &cobra.Command{Use: "withdraw ID", Short: "withdraw a key, and tell where it still works", Args: cobra.ExactArgs(1)}
+	a.flags(c)
+	c.Flags().BoolVar(&q.InstanceOnly, "instance-only", false, "enter the withdrawal at the asked instance alone, in a cut-off failure domain")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		client, err := a.client()
+		if err != nil {
+			return err
+		}
+		q.KeyID, q.Actor = args[0], a.actor
+		answer, err := client.Withdraw(c.Context(), q)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(out, answer.Sentence)
+		if !answer.Complete && !q.InstanceOnly {
+			return errReported
+		}
+		return nil
+	}
+	return c
+}
+
+func drainCommand(out io.Writer) *cobra.Command {
+	var a access
+	var q operator.DrainRequest
+	c := &cobra.Command{Use: "drain target|failure_domain NAME", Short: "give a target or a failure domain no new work", Args: cobra.ExactArgs(2)}
+	a.flags(c)
+	c.Flags().BoolVar(&q.Undo, "undo", false, "give it work again")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		q.Kind, q.Name, q.Actor = args[0], args[1], a.actor
+		return a.change(c.Context(), out, func(ctx context.Context, client *operator.Client) (*operator.ChangeAnswer, error) {
+			return client.Drain(ctx, q)
+		})
+	}
+	return c
+}
+
+func (a *access) change(ctx context.Context, out io.Writer, do func(context.Context, *operator.Client) (*operator.ChangeAnswer, error)) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	answer, err := do(ctx, client)
+	return printChange(out, answer, err)
+}
+
+func forgetCommand(out io.Writer) *cobra.Command {
+	var a access
+	c := &cobra.Command{Use: "forget INSTANCE", Short: "forget an instance that will not come back", Args: cobra.ExactArgs(1)}
+	a.flags(c)
+	c.RunE = func(c *cobra.Command, args []string) error {
+		return a.change(c.Context(), out, func(ctx context.Context, client *operator.Client) (*operator.ChangeAnswer, error) {
+			return client.Forget(ctx, operator.NameRequest{Name: args[0], Actor: a.actor})
+		})
+	}
+	return c
+}
+
+func releaseCommand(out io.Writer) *cobra.Command {
+	var a access
+	var reason string
+	c := &cobra.Command{Use: "release INCARNATION", Short: "declare that a process which issued an open action is gone", Args: cobra.ExactArgs(1)}
+	a.flags(c)
+	c.Flags().StringVar(&reason, "reason", "", "how you know that the process is gone; kept in the audit trail")
+	_ = c.MarkFlagRequired("reason")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		return a.change(c.Context(), out, func(ctx context.Context, client *operator.Client) (*operator.ChangeAnswer, error) {
+			return client.Release(ctx, operator.NameRequest{Name: args[0], Reason: reason, Actor: a.actor})
+		})
+	}
+	return c
+}
+
+func votersCommand(out io.Writer) *cobra.Command {
+	var a access
+	var q operator.VotersRequest
+	var voters, learners []uint
+	c := &cobra.Command{Use: "voters --voters 1,2,3 [--learners 4]", Short: "change the voter set, one member at a time", Args: cobra.NoArgs}
+	a.flags(c)
+	c.Flags().UintSliceVar(&voters, "voters", nil, "ids of the voters")
+	c.Flags().UintSliceVar(&learners, "learners", nil, "ids of the learners, which receive the log without a vote")
+	_ = c.MarkFlagRequired("voters")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		q = operator.VotersRequest{Voters: widen(voters), Learners: widen(learners)}
+		return a.change(c.Context(), out, func(ctx context.Context, client *operator.Client) (*operator.ChangeAnswer, error) {
+			return client.Voters(ctx, q)
+		})
+	}
+	return c
+}
+
+func widen(ids []uint) []uint64 {
+	list := make([]uint64, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, uint64(id))
+	}
+	return list
+}
--- /dev/null
+++ b/engine/protocol.go
@@ -0,0 +1,162 @@
+// Package engine is the client of model engines: streamed completions, load
+// reports, cache events and orders.
+//
+// It owns the engine protocol's messages (docs/TARGETS.md) and the reading of
+// its streams. It must not choose targets or decide on retries.
+//
+// # Usage
+//
+//	client := engine.New(dialer)
+//	stream, err := client.Complete(ctx, address, request)
+//	for {
+//		chunk, err := stream.Next()
+//		...
+//	}
+//	stream.Close()
+package engine
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Header names of the engine protocol.
+const (
+	PriorityHeader = "X-Priority"
+	FencingHeader  = "X-Fencing-Number"
+)
+
+// BytesPerToken is the protocol's measure for prompts that are not tokenized.
+const BytesPerToken = 4
+
+// A Request represents one completion to run on an engine.
+type Request struct {
+	// ID is echoed by the engine.
+	ID string
+	// Path is the API path, such as /v1/chat/completions.
+	Path string
+	// Body is the caller's JSON body, with stream set to true.
+	Body []byte
+	// Priority orders the engine's queue; lower runs first.
+	Priority int
+	// ResumeAt is the number of output tokens the caller already has.
+	ResumeAt int
+}
+
+// A Chunk represents one event of a completion stream.
+type Chunk struct {
+	ID       string   `json:"id"`
+	Object   string   `json:"object"`
+	Created  int64    `json:"created"`
+	Model    string   `json:"model"`
+	Choices  []Choice `json:"choices"`
+	Usage    *Usage   `json:"usage,omitempty"`
+	Position int      `json:"position,omitempty"`
+}
+
+// A Choice represents the part of a chunk that carries text.
+type Choice struct {
+	Index        int     `json:"index"`
+	Delta        *Delta  `json:"delta,omitempty"`
+	Text         string  `json:"text,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// A Delta represents the new text of a chat chunk.
+type Delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Usage is what a completion used, in tokens.
+type Usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+	TotalTokens      int64 `json:"total_tokens"`
+	CachedTokens     int64 `json:"cached_tokens,omitempty"`
+}
+
+// A Load represents an engine's report of its state, which lags.
+type Load struct {
+	Name          string `json:"name"`
+	Incarnation   string `json:"incarnation"`
+	Role          string `json:"role"`
+	Running       int    `json:"running"`
+	Waiting       int    `json:"waiting"`
+	WaitingTokens int64  `json:"waiting_tokens"`
+	Slots         int    `json:"slots"`
+	// PrefillRate and DecodeRate are tokens a second: the first of one prompt,
+	// the second of one stream in a full batch.
+	PrefillRate float64 `json:"prefill_rate"`
+	DecodeRate  float64 `json:"decode_rate"`
+	// PrefillShare is the share of the last steps' time that went to prompts.
+	PrefillShare float64 `json:"prefill_share"`
+	AwayMs       int64   `json:"away_ms"`
+	LastOrder    string  `json:"last_order"`
+	Epoch        uint64  `json:"epoch"`
+}
+
+// An Order represents a change of an engine's role or model.
+type Order struct {
+	ID    string `json:"id"`
+	Epoch uint64 `json:"epoch"`
+	Role  string `json:"role,omitempty"`
+	Model string `json:"model,omitempty"`
+}
+
+// CacheEvents is a page of an engine's cache events. Gap is true if events
+// before the first were lost.
+type CacheEvents struct {
+	Next   uint64       `json:"next"`
+	Gap    bool         `json:"gap"`
+	Events []CacheEvent `json:"events"`
+}
+
+// A CacheEvent represents prompt pieces that an engine stored or dropped.
+type CacheEvent struct {
+	Stored bool     `json:"stored"`
+	Pieces []uint64 `json:"pieces"`
+}
+
+// Pieces returns the chained hashes of a prompt's full pieces of pieceTokens
+// tokens: each covers the prompt from its start, so equal hashes mean equal
+// prefixes. At most limit pieces are returned.
+func Pieces(prompt string, pieceTokens, limit int) []uint64 {
+	size := pieceTokens * BytesPerToken
+	count := min(len(prompt)/size, limit)
+	pieces := make([]uint64, 0, count)
+	var chain uint64
+	var seed [8]byte
+	digest := xxhash.New()
+	for i := range count {
+		digest.Reset()
+		binary.LittleEndian.PutUint64(seed[:], chain)
+		digest.Write(seed[:])
+		digest.WriteString(prompt[i*size : (i+1)*size])
+		chain = digest.Sum64()
+		pieces = append(pieces, chain)
+	}
+	return pieces
+}
+
+// PromptTokens returns the number of tokens of a prompt in the protocol's
+// measure.
+func PromptTokens(prompt string) int64 {
+	return int64((len(prompt) + BytesPerToken - 1) / BytesPerToken)
+}
+
+// GetIncarnation returns the incarnation, or "" for a nil report.
+func (l *Load) GetIncarnation() string {
+	if l == nil {
+		return ""
+	}
+	return l.Incarnation
+}
+
+// A Resume asks an engine to go on with a completion of which the caller has
+// the first Position tokens, which make up Text.
+type Resume struct {
+	Position int    `json:"position"`
+	Text     string `json:"text"`
+}
--- /dev/null
+++ b/engine/stream.go
@@ -0,0 +1,119 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"auburnscale/exchange"
+)
+
+// Errors that a stream can break with.
+var (
+	// ErrBroken means that the stream ended before its end marker.
+	ErrBroken = errors.New("the stream ended before its end marker")
+	// ErrGap means that a token is missing or repeated.
+	ErrGap = errors.New("the stream skips or repeats a token")
+)
+
+const maxLineBytes = 1 << 20
+
+var (
+	dataPrefix = []byte("data: ")
+	doneMarker = []byte("[DONE]")
+)
+
+// A Stream represents a completion that an engine is sending. It has a single
+// reader.
+type Stream struct {
+	answer   *exchange.Answer
+	lines    *bufio.Scanner
+	position int
+	finished bool
+}
+
+func newStream(answer *exchange.Answer, resumeAt int) *Stream {
+	lines := bufio.NewScanner(answer.Body())
+	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	return &Stream{answer: answer, lines: lines, position: resumeAt}
+}
+
+// Next returns the next chunk, and io.EOF after the end marker. Any other end
+// is an error: a stream without its end marker is broken, however long it is.
+func (s *Stream) Next() (*Chunk, error) {
+	for s.lines.Scan() {
+		line := s.lines.Bytes()
+		if !bytes.HasPrefix(line, dataPrefix) {
+			continue
+		}
+		data := line[len(dataPrefix):]
+		if bytes.Equal(data, doneMarker) {
+			return nil, s.end()
+		}
+		return s.decode(data)
+	}
+	if err := s.lines.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return nil, ErrBroken
+}
+
+// end accepts the end marker only behind a finish reason.
+func (s *Stream) end() error {
+	if !s.finished {
+		return ErrBroken
+	}
+	return io.EOF
+}
+
+func (s *Stream) decode(data []byte) (*Chunk, error) {
+	chunk := &Chunk{}
+	if err := json.Unmarshal(data, chunk); err != nil {
+		return nil, fmt.Errorf("%w: decode chunk: %w", ErrBroken, err)
+	}
+	if len(chunk.Choices) == 0 {
+		return chunk, nil
+	}
+	choice := chunk.Choices[0]
+	if choice.FinishReason != nil {
+		s.finished = true
+		return chunk, nil
+	}
+	if chunk.Text() == "" {
+		return chunk, nil
+	}
+	s.position++
+	if chunk.Position != s.position {
+		return nil, fmt.Errorf("%w: token %d where %d belongs", ErrGap, chunk.Position, s.position)
+	}
+	return chunk, nil
+}
+
+// Position returns the number of output tokens up to the last chunk, including
+// those before the resume.
+func (s *Stream) Position() int { return s.position }
+
+// Close ends the exchange, which cancels a completion that still runs.
+func (s *Stream) Close() { s.answer.Close() }
+
+// Text returns the new text of the chunk.
+func (c *Chunk) Text() string {
+	if len(c.Choices) == 0 {
+		return ""
+	}
+	if d := c.Choices[0].Delta; d != nil {
+		return d.Content
+	}
+	return c.Choices[0].Text
+}
+
+// Finish returns the finish reason, or "".
+func (c *Chunk) Finish() string {
+	if len(c.Choices) == 0 || c.Choices[0].FinishReason == nil {
+		return ""
+	}
+	return *c.Choices[0].FinishReason
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,98 @@
+// Package event names what the processes log. Each event has a number that
+// stays the same over versions; docs/EVENTS.md is generated from the catalogue.
+//
+// It owns the catalogue and the logger. It must not import any package that logs.
+//
+// # Usage
+//
+//	logger := event.New(zapLogger)
+//	logger.Log(event.LeaderElected, zap.Uint64("term", term))
+package event
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// A Kind represents one numbered event.
+type Kind struct {
+	number  int
+	name    string
+	level   zapcore.Level
+	meaning string
+}
+
+var catalogue []Kind
+
+func define(number int, name string, level zapcore.Level, meaning string) Kind {
+	k := Kind{number: number, name: name, level: level, meaning: meaning}
+	catalogue = append(catalogue, k)
+	return k
+}
+
+// Number returns the event's number.
+func (k Kind) Number() int { return k.number }
+
+// The events. Hundreds group them: 1 process, 2 quorum, 3 configuration,
+// 4 outward actions, 5 requests, 6 usage.
+var (
+	Started           = define(101, "started", zapcore.InfoLevel, "the process listens on all its addresses")
+	Stopping          = define(102, "stopping", zapcore.InfoLevel, "a planned stop began; the instance says it is not ready and finishes its requests")
+	Stopped           = define(103, "stopped", zapcore.InfoLevel, "the process ends; open tells how many requests were still open")
+	ListenerFailed    = define(104, "listener_failed", zapcore.ErrorLevel, "a listener ended by itself; the process stops")
+	LeaderElected     = define(201, "leader_elected", zapcore.InfoLevel, "this voter became the leader of the term")
+	LeaderLost        = define(202, "leader_lost", zapcore.InfoLevel, "this voter is no longer the leader")
+	SnapshotSaved     = define(203, "snapshot_saved", zapcore.InfoLevel, "the log was compacted into a snapshot")
+	SnapshotTaken     = define(204, "snapshot_installed", zapcore.InfoLevel, "this voter lagged and took the leader's snapshot")
+	StorageFailed     = define(205, "storage_failed", zapcore.ErrorLevel, "the data folder cannot be written; this voter takes no further part until it is restarted")
+	VotersChanged     = define(206, "voters_changed", zapcore.InfoLevel, "an operator changed the voter set")
+	ConfigInForce     = define(301, "configuration_in_force", zapcore.InfoLevel, "this instance decides by the version from now on")
+	ConfigRefused     = define(302, "configuration_refused", zapcore.ErrorLevel, "a committed configuration does not pass this version's checks; the last one stays in force")
+	ContactLost       = define(303, "contact_lost", zapcore.WarnLevel, "no control leader answered for the freshness bound; keyed requests are refused except for workspaces at home here")
+	ContactBack       = define(304, "contact_back", zapcore.InfoLevel, "a control leader answers again")
+	InstanceJoined    = define(305, "instance_joined", zapcore.InfoLevel, "an instance, or a new incarnation of it, is known to the control group")
+	ActionSent        = define(401, "action_sent", zapcore.InfoLevel, "an outward action was answered")
+	ActionUnanswered  = define(402, "action_unanswered", zapcore.WarnLevel, "an outward action got no answer; the same content is sent again")
+	ActionRefused     = define(403, "action_refused", zapcore.WarnLevel, "an outward action may not be taken now; detail says why")
+	TargetUp          = define(404, "target_up", zapcore.InfoLevel, "a target answers its load report")
+	TargetDown        = define(405, "target_down", zapcore.WarnLevel, "a target stopped answering; it gets no new work")
+	TargetUnknown     = define(406, "target_unknown", zapcore.WarnLevel, "a process announced itself that the inventory does not hold; it gets no work")
+	RequestQuarantine = define(501, "request_quarantined", zapcore.WarnLevel, "a request was in flight when two targets crashed; it is refused for a while")
+	StreamResumed     = define(502, "stream_resumed", zapcore.InfoLevel, "a broken stream goes on from another target at the token where it broke")
+	HoldFailed        = define(601, "hold_failed", zapcore.WarnLevel, "no second instance took a copy of the usage counters in time")
+	WindowClosed      = define(602, "window_closed", zapcore.InfoLevel, "a usage window's figures are committed")
+)
+
+// Logger writes numbered events. It is safe for concurrent use.
+type Logger struct {
+	zap *zap.Logger
+}
+
+// New returns a logger over the zap logger.
+func New(z *zap.Logger) *Logger { return &Logger{zap: z} }
+
+// Nop returns a logger that drops everything, for tests.
+func Nop() *Logger { return New(zap.NewNop()) }
+
+// Log writes the event with its number and the fields.
+func (l *Logger) Log(k Kind, fields ...zap.Field) {
+	fields = append([]zap.Field{zap.Int("event", k.number)}, fields...)
+	l.zap.Log(k.level, k.name, fields...)
+}
+
+// Catalogue returns the events as Markdown, in the order of their numbers.
+func Catalogue() string {
+	sorted := slices.Clone(catalogue)
+	slices.SortFunc(sorted, func(a, b Kind) int { return a.number - b.number })
+	var b strings.Builder
+	b.WriteString("# Log events\n\nGenerated by `auburnscale reference events`; do not edit.\n\n")
+	b.WriteString("| number | name | level | meaning |\n| --- | --- | --- | --- |\n")
+	for _, k := range sorted {
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %s |\n", k.number, k.name, k.level, k.meaning)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/finding/toml.go
@@ -0,0 +1,40 @@
+package finding
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Index returns "key[i]", the place of an element of an array of tables.
+func Index(key string, i int) string { return fmt.Sprintf("%s[%d]", key, i) }
+
+// DecodeTOML decodes data into target and adds a finding, with line and column,
+// for a fault of syntax, a value of the wrong type and every unknown key. It
+// reports whether target was filled.
+func DecodeTOML(path string, data []byte, target any, list *List) bool {
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	err := decoder.Decode(target)
+	if err == nil {
+		return true
+	}
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		for _, e := range unknown.Errors {
+			row, column := e.Position()
+			list.Add(fmt.Sprintf("%s:%d:%d", path, row, column), strings.Join(e.Key(), "."), "unknown key")
+		}
+		return true
+	}
+	var fault *toml.DecodeError
+	if errors.As(err, &fault) {
+		row, column := fault.Position()
+		list.Add(fmt.Sprintf("%s:%d:%d", path, row, column), strings.Join(fault.Key(), "."), "%v", fault)
+		return false
+	}
+	list.Add(path, "", "%v", err)
+	return false
+}
--- /dev/null
+++ b/route/target.go
@@ -0,0 +1,216 @@
+// Package route chooses the target of a request.
+//
+// It owns the routing policies, the estimate of a target's load and the index
+// of which target holds which prompt prefix. Choosing is pure over a Fleet, which
+// is immutable but for each target's counters. It must not open connections or
+// decide whether a request may run at all.
+//
+// # Usage
+//
+//	fleet := route.NewFleet(targets, "hobart")
+//	decision := policy.Choose(fleet, route.Request{PromptTokens: 900, Pieces: pieces}, random)
+//	decision.Target().Begin(work)
+//	defer decision.Target().End(work)
+package route
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// A Target represents one target as a router sees it: what the inventory says,
+// what the target last reported, and what this instance has in flight there.
+type Target struct {
+	name    string
+	address string
+	domain  string
+	slots   int
+	cheap   bool
+	cost    int64
+
+	inFlight atomic.Int64
+	work     atomic.Int64
+	report   atomic.Pointer[Report]
+}
+
+// A Report represents a target's own account of its load, with what this
+// instance had in flight when it came.
+type Report struct {
+	at           time.Time
+	running      int
+	waiting      int
+	waitingWork  int64
+	prefillRate  float64
+	decodeRate   float64
+	role         string
+	away         bool
+	ownInFlight  int64
+	ownWork      int64
+	prefillShare float64
+}
+
+// Spec is what the inventory says of a target.
+type Spec struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	Slots         int
+	Cheap         bool
+	// TokenCost is the price of a thousand tokens in millionths of the currency.
+	TokenCost int64
+}
+
+// NewTarget returns a target without a report.
+func NewTarget(s Spec) *Target {
+	return &Target{name: s.Name, address: s.Address, domain: s.FailureDomain, slots: s.Slots, cheap: s.Cheap, cost: s.TokenCost}
+}
+
+// Name returns the target's name.
+func (t *Target) Name() string { return t.name }
+
+// Address returns the target's address.
+func (t *Target) Address() string { return t.address }
+
+// FailureDomain returns the target's failure domain.
+func (t *Target) FailureDomain() string { return t.domain }
+
+// Slots returns how many requests the target runs at once.
+func (t *Target) Slots() int { return t.slots }
+
+// TokenCost returns the price of a thousand tokens in millionths.
+func (t *Target) TokenCost() int64 { return t.cost }
+
+// Begin counts a request of so much work, in tokens, as in flight.
+func (t *Target) Begin(work int64) {
+	t.inFlight.Add(1)
+	t.work.Add(work)
+}
+
+// End takes back what Begin counted.
+func (t *Target) End(work int64) {
+	t.inFlight.Add(-1)
+	t.work.Add(-work)
+}
+
+// InFlight returns this instance's requests on the target.
+func (t *Target) InFlight() int64 { return t.inFlight.Load() }
+
+// A Load is what a target reports.
+type Load struct {
+	Running      int
+	Waiting      int
+	WaitingWork  int64
+	PrefillRate  float64
+	DecodeRate   float64
+	PrefillShare float64
+	Role         string
+	Away         bool
+}
+
+// SetReport stores a report that came at the time.
+func (t *Target) SetReport(l Load, at time.Time) {
+	t.report.Store(&Report{
+		at: at, running: l.Running, waiting: l.Waiting, waitingWork: l.WaitingWork,
+		prefillRate: l.PrefillRate, decodeRate: l.DecodeRate, prefillShare: l.PrefillShare,
+		role: l.Role, away: l.Away, ownInFlight: t.inFlight.Load(), ownWork: t.work.Load(),
+	})
+}
+
+// Requests estimates all requests on the target, of every instance: the report,
+// corrected by what this instance began and ended since.
+func (t *Target) Requests() int64 {
+	own := t.inFlight.Load()
+	r := t.report.Load()
+	if r == nil {
+		return own
+	}
+	return max(own, int64(r.running+r.waiting)+own-r.ownInFlight)
+}
+
+// waitingWork estimates the prompt tokens that wait on the target.
+func (t *Target) waitingWork() int64 {
+	r := t.report.Load()
+	if r == nil {
+		return t.work.Load()
+	}
+	return max(0, r.waitingWork+t.work.Load()-r.ownWork)
+}
+
+const (
+	// defaultPrefillRate, in tokens a second, holds until a target reports.
+	defaultPrefillRate = 8000
+	// defaultDecodeRate is in tokens a second for one stream.
+	defaultDecodeRate = 30
+)
+
+// PrefillRate returns the target's prompt speed in tokens a second.
+func (t *Target) PrefillRate() float64 {
+	if r := t.report.Load(); r != nil && r.prefillRate > 0 {
+		return r.prefillRate
+	}
+	return defaultPrefillRate
+}
+
+// DecodeRate returns the target's output speed per stream in tokens a second.
+func (t *Target) DecodeRate() float64 {
+	if r := t.report.Load(); r != nil && r.decodeRate > 0 {
+		return r.decodeRate
+	}
+	return defaultDecodeRate
+}
+
+// Away reports whether the target said that it is changing its role.
+func (t *Target) Away() bool {
+	r := t.report.Load()
+	return r != nil && r.away
+}
+
+// HasRoom reports whether the target is estimated to have a free slot.
+func (t *Target) HasRoom() bool { return !t.Away() && t.Requests() < int64(t.slots) }
+
+// A Fleet represents the usable targets of one service. It is immutable but for
+// the targets' counters.
+type Fleet struct {
+	targets []*Target
+	local   []*Target
+	remote  []*Target
+	index   *PrefixIndex
+}
+
+// NewFleet returns the fleet of the targets as seen from a failure domain.
+func NewFleet(targets []*Target, domain string, index *PrefixIndex) *Fleet {
+	f := &Fleet{targets: targets, index: index}
+	for _, t := range targets {
+		if t.domain == domain {
+			f.local = append(f.local, t)
+		} else {
+			f.remote = append(f.remote, t)
+		}
+	}
+	return f
+}
+
+// Targets returns the usable targets. The caller must not change the slice.
+func (f *Fleet) Targets() []*Target { return f.targets }
+
+// Index returns the prefix index.
+func (f *Fleet) Index() *PrefixIndex { return f.index }
+
+// HasRoom reports whether any target is estimated to have a free slot.
+func (f *Fleet) HasRoom() bool {
+	for _, t := range f.targets {
+		if t.HasRoom() {
+			return true
+		}
+	}
+	return false
+}
+
+// Capacity sums the fleet's slots and the estimated requests on it.
+func (f *Fleet) Capacity() (slots, requests int64) {
+	for _, t := range f.targets {
+		slots += int64(t.slots)
+		requests += t.Requests()
+	}
+	return slots, requests
+}
--- /dev/null
+++ b/serve/peers.go
@@ -0,0 +1,105 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"auburnscale/control"
+	"auburnscale/peer"
+	"auburnscale/voter"
+)
+
+// peerServer answers the inner protocol.
+type peerServer struct {
+	process *Process
+}
+
+// maxTrailPage bounds one page of the audit trail.
+const maxTrailPage = 1000
+
+var errNoVoter = twirp.NewError(twirp.FailedPrecondition, "this instance is no voter")
+
+// Step takes quorum messages.
+func (s *peerServer) Step(_ context.Context, request *peer.StepRequest) (*peer.StepResponse, error) {
+	if s.process.voter == nil {
+		return nil, errNoVoter
+	}
+	s.process.voter.Receive(request.Messages)
+	return &peer.StepResponse{}, nil
+}
+
+// Propose commits a command if this voter leads.
+func (s *peerServer) Propose(ctx context.Context, request *peer.ProposeRequest) (*peer.ProposeResponse, error) {
+	v := s.process.voter
+	if v == nil {
+		return nil, errNoVoter
+	}
+	result, err := v.Submit(ctx, request)
+	switch {
+	case err == nil:
+		return &peer.ProposeResponse{Accepted: true, Result: result}, nil
+	case errors.Is(err, voter.ErrNotLeader):
+		return &peer.ProposeResponse{Leader: v.Standing().Leader()}, nil
+	}
+	return &peer.ProposeResponse{Leader: v.Standing().Leader(), Uncertain: true}, nil
+}
+
+// Sync answers an instance's heartbeat.
+func (s *peerServer) Sync(ctx context.Context, request *peer.SyncRequest) (*peer.SyncResponse, error) {
+	if s.process.table == nil {
+		return nil, errNoVoter
+	}
+	return s.process.table.Sync(ctx, request)
+}
+
+// Hold keeps a copy of another instance's usage counters.
+func (s *peerServer) Hold(_ context.Context, request *peer.HoldRequest) (*peer.HoldResponse, error) {
+	s.process.recorder.Hold(request.Counters)
+	return &peer.HoldResponse{}, nil
+}
+
+// Status returns this voter's view; it is the system's if this voter leads.
+func (s *peerServer) Status(_ context.Context, request *peer.StatusRequest) (*peer.StatusResponse, error) {
+	v := s.process.voter
+	if v == nil {
+		return nil, errNoVoter
+	}
+	standing := v.Standing()
+	answer := &peer.StatusResponse{
+		Leading: v.MayAct(), Leader: standing.Leader(), Term: standing.Term(), Commit: standing.Commit(),
+		Voters: standing.Voters(), Members: s.process.table.Members(),
+	}
+	if request.Revision > 0 {
+		answer.MayServe = s.process.table.Fresh(request.Revision)
+	}
+	v.Read(func(m *control.Machine) { fillStatus(answer, m) })
+	return answer, nil
+}
+
+// fillStatus copies what it reads, since the machine changes its intents.
+func fillStatus(answer *peer.StatusResponse, m *control.Machine) {
+	answer.Version = m.Configuration().GetVersion()
+	answer.Revision = m.Revision()
+	answer.SettledWindow = m.SettledWindow()
+	answer.Drains = m.Drains()
+	answer.Withdrawn = m.Withdrawn(0)
+	for _, i := range m.Intents() {
+		answer.Intents = append(answer.Intents, proto.Clone(i).(*peer.Intent))
+	}
+}
+
+// Trail returns a page of the audit trail.
+func (s *peerServer) Trail(_ context.Context, request *peer.TrailRequest) (*peer.TrailResponse, error) {
+	if s.process.voter == nil {
+		return nil, errNoVoter
+	}
+	answer := &peer.TrailResponse{}
+	s.process.voter.Read(func(m *control.Machine) {
+		answer.Entries = slices.Clone(m.Trail(request.After, min(maxTrailPage, int(request.Limit))))
+	})
+	return answer, nil
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,184 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"auburnscale/finding"
+)
+
+// Read reads the file and returns its settings over the defaults, with every
+// finding about it.
+func Read(path string) (Settings, *finding.List) {
+	s := Default()
+	list := &finding.List{}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		list.Add(path, "", "%v", err)
+		return s, list
+	}
+	if finding.DecodeTOML(path, data, &s, list) {
+		s.check(path, list)
+	}
+	return s, list
+}
+
+func (s *Settings) check(path string, list *finding.List) {
+	if s.Instance == "" {
+		list.Add(path, "instance", "is missing")
+	}
+	if s.FailureDomain == "" {
+		list.Add(path, "failure_domain", "is missing")
+	}
+	checkAddress(path, "listen.caller", s.Listen.Caller, list)
+	checkAddress(path, "listen.peer", s.Listen.Peer, list)
+	checkAddress(path, "listen.operator", s.Listen.Operator, list)
+	if s.Platform.Address != "" {
+		checkAddress(path, "platform.address", s.Platform.Address, list)
+	}
+	checkKeyFile(path, "peer.key_file", s.Peer.KeyFile, list)
+	checkKeyFile(path, "operator.key_file", s.Operator.KeyFile, list)
+	s.checkVoters(path, list)
+	s.checkTiming(path, list)
+	s.checkPolicy(path, list)
+	s.checkCertificates(path, list)
+}
+
+// checkAddress refuses names and wildcards: a process is reached by the IP
+// number that its settings give, and binds its outgoing connections to it.
+func checkAddress(path, key, address string, list *finding.List) {
+	if address == "" {
+		list.Add(path, key, "is missing")
+		return
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		list.Add(path, key, "%q is not an IP number and port", address)
+		return
+	}
+	if parsed.Addr().IsUnspecified() {
+		list.Add(path, key, "%q is a wildcard; give the instance's own IP number", address)
+	}
+	if parsed.Port() == 0 {
+		list.Add(path, key, "%q has no port", address)
+	}
+}
+
+const minKeyBytes = 16
+
+func checkKeyFile(path, key, file string, list *finding.List) {
+	if file == "" {
+		list.Add(path, key, "is missing")
+		return
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		list.Add(path, key, "%v", err)
+		return
+	}
+	if len(data) < minKeyBytes {
+		list.Add(path, key, "%s holds %d bytes; at least %d are needed", file, len(data), minKeyBytes)
+	}
+}
+
+func (s *Settings) checkVoters(path string, list *finding.List) {
+	var ids []uint64
+	for i, v := range s.Voters {
+		key := finding.Index("voters", i)
+		if v.ID == 0 {
+			list.Add(path, key+".id", "must be 1 or more")
+		}
+		if slices.Contains(ids, v.ID) {
+			list.Add(path, key+".id", "%d is given twice", v.ID)
+		}
+		ids = append(ids, v.ID)
+		checkAddress(path, key+".address", v.Address, list)
+	}
+	if len(s.Voters) == 0 {
+		list.Add(path, "voters", "is missing; every instance must know the control group")
+	}
+	for i, id := range s.InitialVoters {
+		if !slices.Contains(ids, id) {
+			list.Add(path, finding.Index("initial_voters", i), "%d is not in voters", id)
+		}
+	}
+	if n := len(s.InitialVoters); n == 0 || n%2 == 0 || n > 7 {
+		list.Add(path, "initial_voters", "has %d ids; 1, 3, 5 or 7 are allowed", n)
+	}
+	s.checkRole(path, ids, list)
+}
+
+func (s *Settings) checkRole(path string, ids []uint64, list *finding.List) {
+	if s.Voter.ID == 0 {
+		if s.Voter.DataFolder != "" {
+			list.Add(path, "voter.data_folder", "is given, but voter.id is not")
+		}
+		return
+	}
+	if !slices.Contains(ids, s.Voter.ID) {
+		list.Add(path, "voter.id", "%d is not in voters", s.Voter.ID)
+	}
+	if s.Voter.DataFolder == "" {
+		list.Add(path, "voter.data_folder", "is missing; a voter needs a disk")
+	}
+}
+
+func (s *Settings) checkTiming(path string, list *finding.List) {
+	spans := []struct {
+		key  string
+		span Duration
+	}{
+		{"platform.usage_window", s.Platform.UsageWindow}, {"platform.usage_grace", s.Platform.UsageGrace},
+		{"caller.read_timeout", s.Caller.ReadTimeout}, {"caller.deadline", s.Caller.Deadline},
+		{"caller.first_token", s.Caller.FirstToken}, {"control.sync_interval", s.Control.SyncInterval},
+		{"control.freshness", s.Control.Freshness}, {"control.probe_interval", s.Control.ProbeInterval},
+		{"control.claim_retain", s.Control.ClaimRetain}, {"control.stop_limit", s.Control.StopLimit},
+	}
+	for _, each := range spans {
+		if each.span.Span() < time.Millisecond {
+			list.Add(path, each.key, "must be at least 1ms, is %v", each.span.Span())
+		}
+	}
+	if s.Control.Freshness.Span() < 3*s.Control.SyncInterval.Span() {
+		list.Add(path, "control.freshness", "must be at least three times control.sync_interval, so that one lost heartbeat refuses nobody")
+	}
+	for key, n := range map[string]int{"body_bytes": s.Caller.BodyBytes, "header_bytes": s.Caller.HeaderBytes, "connections": s.Caller.Connections} {
+		if n <= 0 {
+			list.Add(path, "caller."+key, "must be more than 0, is %d", n)
+		}
+	}
+}
+
+func (s *Settings) checkPolicy(path string, list *finding.List) {
+	checkChoice(path, "policy.routing", s.Policy.Routing, []string{"affinity", "least_in_flight", "round_robin"}, list)
+	checkChoice(path, "policy.admission", s.Policy.Admission, []string{"fair", "fifo"}, list)
+	checkChoice(path, "policy.retries", s.Policy.Retries, []string{"budget", "three_times"}, list)
+	checkChoice(path, "policy.roles", s.Policy.Roles, []string{"never", "greedy", "horizon"}, list)
+	if s.Policy.Hot < 1 {
+		list.Add(path, "policy.hot", "must be 1 or more, is %g", s.Policy.Hot)
+	}
+	if s.Policy.RetryShare < 0 || s.Policy.RetryShare > 1 {
+		list.Add(path, "policy.retry_share", "must be from 0 to 1, is %g", s.Policy.RetryShare)
+	}
+}
+
+func checkChoice(path, key, value string, choices []string, list *finding.List) {
+	if !slices.Contains(choices, value) {
+		list.Add(path, key, "%q is none of %q", value, choices)
+	}
+}
+
+func (s *Settings) checkCertificates(path string, list *finding.List) {
+	pair := func(key, certificate, privateKey string) {
+		if (certificate == "") != (privateKey == "") {
+			list.Add(path, key, "certificate_file and private_key_file go together")
+		}
+	}
+	pair("caller.certificate_file", s.Caller.CertificateFile, s.Caller.PrivateKeyFile)
+	pair("peer.certificate_file", s.Peer.CertificateFile, s.Peer.PrivateKeyFile)
+	if s.Peer.CertificateFile != "" && s.Peer.AuthorityFile == "" {
+		list.Add(path, "peer.authority_file", "is missing; mutual TLS needs it")
+	}
+}
