--- a/admit/admit.go
+++ b/admit/admit.go
@@ -115,7 +115,6 @@
 	sequence uint64
 	index    int
 	admitted chan struct{}
-	gone     bool
 }
 
 // New returns an empty queue before the room.
--- a/caller/server.go
+++ b/caller/server.go
@@ -216,6 +216,9 @@
 	if !s.parts.Views.Ready() {
 		return refuse(fasthttp.StatusServiceUnavailable, CodeNotReady, "no control leader has given this instance its configuration yet")
 	}
+	if !s.parts.Book.Settled() {
+		return refuse(fasthttp.StatusServiceUnavailable, CodeNotReady, "not every target has been asked yet")
+	}
 	ctx.SetBodyString("ready\n")
 	return nil
 }
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
@@ -14,10 +15,12 @@
 // newMetrics returns the process's root scope and the handler that shows it in
 // the Prometheus text form.
 func newMetrics(instance string) (tally.Scope, fasthttp.RequestHandler) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "auburnscale", Tags: map[string]string{"instance": instance},
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, metricsInterval)
 	return scope, fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler())
 }
--- a/serve/process.go
+++ b/serve/process.go
@@ -19,7 +19,6 @@
 	"net/netip"
 	"os"
 	"strings"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -84,7 +83,6 @@
 
 	failed   chan error
 	replaced chan struct{}
-	stopOnce sync.Once
 }
 
 // New builds the parts and opens the listeners towards callers and instances.
--- /dev/null
+++ b/standin/complete.go
@@ -0,0 +1,194 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"auburnscale/engine"
+)
+
+const defaultMaxTokens = 16
+
+// completionBody is what the engine reads of a request.
+type completionBody struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Resume    *struct {
+		Position int    `json:"position"`
+		Text     string `json:"text"`
+	} `json:"resume"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Token returns the text of an output token. It depends on the prompt and the
+// position alone, so a caller can check that an answer is whole and its own.
+func Token(prompt string, position int) string {
+	h := xxhash.Sum64String(prompt) + uint64(position)*0x9e3779b97f4a7c15
+	return fmt.Sprintf("w%04x ", (h>>20)&0xffff)
+}
+
+// Output returns the first n tokens of the answer to the prompt.
+func Output(prompt string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(Token(prompt, i))
+	}
+	return b.String()
+}
+
+// ChatPrompt returns the prompt that a chat's single user message makes.
+func ChatPrompt(content string) string { return "user: " + content + "\n" }
+
+func (b *completionBody) prompt() string {
+	if len(b.Messages) == 0 {
+		return b.Prompt
+	}
+	var text strings.Builder
+	for _, m := range b.Messages {
+		text.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	return text.String()
+}
+
+func (e *Engine) complete(ctx *fasthttp.RequestCtx) {
+	var body completionBody
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		answerJSON(ctx, fasthttp.StatusBadRequest, notice{err.Error()})
+		return
+	}
+	if len(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)) > 0 {
+		answerJSON(ctx, fasthttp.StatusBadRequest, notice{"a caller's key reached the target"})
+		return
+	}
+	prompt := body.prompt()
+	q, arrival := e.enqueue(ctx, &body, prompt)
+	if e.crashes(arrival, prompt) {
+		e.crash()
+		return
+	}
+	if every := e.config.Faults.CrossEvery; every > 0 && arrival%uint64(every) == 0 {
+		ctx.Response.Header.Set(requestIDHeader, "another-request")
+	}
+	w := &chunkWriter{engine: e, q: q, prompt: prompt, model: body.Model, chat: len(body.Messages) > 0, arrival: arrival}
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(w.write)
+}
+
+func (e *Engine) enqueue(ctx *fasthttp.RequestCtx, body *completionBody, prompt string) (*sequence, uint64) {
+	limit := body.MaxTokens
+	if limit == 0 {
+		limit = defaultMaxTokens
+	}
+	priority, _ := strconv.Atoi(string(ctx.Request.Header.Peek("X-Priority")))
+	q := &sequence{
+		priority: priority, prompt: max(1, int(engine.PromptTokens(prompt))), pieces: engine.Pieces(prompt, pieceTokens, 256),
+		limit: limit, tokens: make(chan int, limit+1), canceled: make(chan struct{}),
+	}
+	if body.Resume != nil {
+		q.position = body.Resume.Position
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.arrivals++
+	q.arrival = e.arrivals
+	e.batch.add(q)
+	return q, e.arrivals
+}
+
+// chunkWriter sends a sequence's tokens as they come.
+type chunkWriter struct {
+	engine  *Engine
+	q       *sequence
+	prompt  string
+	model   string
+	chat    bool
+	arrival uint64
+}
+
+func (w *chunkWriter) write(out *bufio.Writer) {
+	defer close(w.q.canceled)
+	cut := w.cutPosition()
+	for {
+		select {
+		case position, open := <-w.q.tokens:
+			if !open {
+				w.end(out)
+				return
+			}
+			if position == cut {
+				w.engine.cutStream(out)
+				return
+			}
+			if w.send(out, w.chunk(Token(w.prompt, position), position, nil)) != nil {
+				return
+			}
+		case <-w.engine.stop:
+			return
+		}
+	}
+}
+
+func (w *chunkWriter) cutPosition() int {
+	every := w.engine.config.Faults.CutEvery
+	if every == 0 || w.arrival%uint64(every) != 0 {
+		return -1
+	}
+	return w.q.limit/2 + 1
+}
+
+// cutStream ends the stream so that the client sees a broken one: the body is
+// chunked, and a panic-free way to leave out its end is a body that ends without
+// the end marker of the event stream.
+func (e *Engine) cutStream(out *bufio.Writer) { _ = out.Flush() }
+
+func (w *chunkWriter) end(out *bufio.Writer) {
+	reason := "length"
+	if w.send(out, w.chunk("", 0, &reason)) != nil {
+		return
+	}
+	last := w.chunk("", 0, nil)
+	last.Choices = []engine.Choice{}
+	last.Usage = &engine.Usage{
+		PromptTokens: int64(w.q.prompt), CompletionTokens: int64(w.q.limit),
+		TotalTokens: int64(w.q.prompt + w.q.limit), CachedTokens: int64(w.q.cached),
+	}
+	if w.send(out, last) != nil {
+		return
+	}
+	fmt.Fprint(out, "data: [DONE]\n\n")
+	_ = out.Flush()
+}
+
+func (w *chunkWriter) chunk(text string, position int, reason *string) *engine.Chunk {
+	choice := engine.Choice{FinishReason: reason}
+	object := "text_completion"
+	if w.chat {
+		object = "chat.completion.chunk"
+		choice.Delta = &engine.Delta{Content: text}
+	} else {
+		choice.Text = text
+	}
+	return &engine.Chunk{ID: "engine", Object: object, Created: time.Now().Unix(), Model: w.model, Choices: []engine.Choice{choice}, Position: position}
+}
+
+func (w *chunkWriter) send(out *bufio.Writer, chunk *engine.Chunk) error {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "data: %s\n\n", data)
+	return out.Flush()
+}
--- /dev/null
+++ b/standin/cut.go
@@ -0,0 +1,23 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/valyala/fasthttp"
+)
+
+// closeConnection ends a connection without an answer.
+func closeConnection(connection net.Conn) { connection.Close() }
+
+// cutBody replaces the answer by one that announces its whole length and ends
+// early.
+func cutBody(ctx *fasthttp.RequestCtx) {
+	body := append([]byte(nil), ctx.Response.Body()...)
+	id := string(ctx.Request.Header.Peek(requestIDHeader))
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(connection net.Conn) {
+		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body[:len(body)/2])
+		connection.Close()
+	})
+}
--- a/target/book.go
+++ b/target/book.go
@@ -57,6 +57,7 @@
 	mutex    sync.Mutex
 	probes   map[string]*probe
 	services atomic.Pointer[map[string]*Service]
+	changed  chan struct{}
 	stop     chan struct{}
 	done     chan struct{}
 	stopOnce sync.Once
@@ -77,7 +78,7 @@
 func NewBook(config Config, views ViewSource, engines *engine.Client, logger *event.Logger) *Book {
 	b := &Book{
 		config: config, views: views, engines: engines, logger: logger,
-		probes: map[string]*probe{}, stop: make(chan struct{}), done: make(chan struct{}),
+		probes: map[string]*probe{}, changed: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	b.services.Store(&map[string]*Service{})
 	return b
@@ -107,10 +108,37 @@
 		case <-b.stop:
 			return
 		case <-ticker.C:
+		case <-b.changed:
 		}
 	}
 }
 
+// noteChange makes the next look come at once.
+func (b *Book) noteChange() {
+	select {
+	case b.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Settled reports whether every target of the configuration has been asked at
+// least once, so that the fleets show which targets are usable.
+func (b *Book) Settled() bool {
+	snapshot := b.views.View().Snapshot()
+	if snapshot == nil {
+		return false
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, t := range snapshot.AllTargets() {
+		p := b.probes[t.Name]
+		if p == nil || !p.asked.Load() || p.isUp() && p.service.Load() == nil {
+			return false
+		}
+	}
+	return true
+}
+
 func (b *Book) stopProbes() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/target/probe.go
+++ b/target/probe.go
@@ -25,6 +25,7 @@
 	cancel  context.CancelFunc
 	wake    chan struct{}
 	up      atomic.Bool
+	asked   atomic.Bool
 	load    atomic.Pointer[engine.Load]
 	service atomic.Pointer[Service]
 
@@ -78,6 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*p.book.config.ProbeInterval)
 	defer cancel()
 	load, err := p.book.engines.Load(ctx, p.spec.Address)
+	defer p.asked.Store(true)
 	if err != nil {
 		p.noteFailure(err)
 		return
@@ -98,6 +100,7 @@
 		return
 	}
 	if p.up.CompareAndSwap(true, false) {
+		p.book.noteChange()
 		p.book.logger.Log(event.TargetDown, zap.String("target", p.spec.Name), zap.Error(err))
 	}
 }
@@ -113,6 +116,7 @@
 		DecodeRate: load.DecodeRate, PrefillShare: load.PrefillShare, Role: load.Role, Away: load.AwayMs > 0,
 	}, time.Now())
 	if p.up.CompareAndSwap(false, true) {
+		p.book.noteChange()
 		p.book.logger.Log(event.TargetUp, zap.String("target", p.spec.Name), zap.String("incarnation", load.Incarnation))
 	}
 }
