Prove the invariants on real listeners, and close the poison window

Cause: under the race detector a request that crashes targets reached three of them: the caller resent it to another instance before that one had heard of the quarantine. Ruled out: a lost suspicion (the log held both crashes). Change: the one more try waits until no instance can be without the suspicion, and is given up if another dispatch crashed a target meanwhile. Final answers are never held back. Failure tests run four instances in one process, each on loopback addresses of its own, with relays that cut failure domains off.

--- a/caller/run.go
+++ b/caller/run.go
@@ -163,27 +163,47 @@
 
 // checkCrash asks whether the target crashed under the request. If it did, the
 // control group decides whether the request gets the one more try, so that a
-// request that crashes targets reaches two at most in the whole system.
+// request that crashes targets reaches two at most in the whole system. The try
+// waits until every instance knows the suspicion and refuses a resend.
 func (r *run) checkCrash(t *route.Target, failure *Failure) *Failure {
 	if !r.server.parts.Book.Crashed(r.ctx, t.Name(), r.origin) {
 		return failure
 	}
+	if r.mayTryAgain() {
+		return failure
+	}
+	r.server.parts.Logger.Log(event.RequestQuarantine, zap.String("fingerprint", r.c.fingerprint), zap.String("request", r.c.id))
+	return failed(fasthttp.StatusServiceUnavailable, CodeQuarantined, "targets crashed while this request was in flight; it is not run again for a while")
+}
+
+func (r *run) mayTryAgain() bool {
+	first := !r.c.suspected
+	r.c.suspected = true
 	result, err := r.server.propose(r.ctx, &peer.Command{Actor: r.server.config.Instance, Body: &peer.Command_Suspect{
 		Suspect: &peer.Suspect{Fingerprint: r.c.fingerprint, Owner: r.c.id},
 	}})
-	granted := err == nil && result.Code == peer.Result_OK
 	if err != nil {
 		// Without the control group this instance counts for itself.
-		granted = !r.c.suspected
+		return first
 	}
-	r.c.suspected = true
-	if granted {
-		return failure
+	if result.Code != peer.Result_OK {
+		return false
 	}
-	r.server.parts.Logger.Log(event.RequestQuarantine, zap.String("fingerprint", r.c.fingerprint), zap.String("request", r.c.id))
-	return failed(fasthttp.StatusServiceUnavailable, CodeQuarantined, "targets crashed while this request was in flight; it is not run again for a while")
+	ctx, cancel := context.WithTimeout(r.ctx, inForceTimeout)
+	defer cancel()
+	return r.server.parts.Proposer.AwaitInForce(ctx, result.Revision) && r.soleTry()
 }
 
+// soleTry reports whether no other dispatch of the request has crashed a target
+// since the suspicion.
+func (r *run) soleTry() bool {
+	return r.server.parts.Views.View().Crashes(r.c.fingerprint) <= 1
+}
+
+// inForceTimeout bounds the wait for a suspicion to be known everywhere. It
+// exceeds the freshness of an instance that has just been cut off.
+const inForceTimeout = 5 * time.Second
+
 // again returns nil if the request may be tried on another target, or the final
 // failure.
 func (r *run) again(failure *Failure) *Failure {
--- a/caller/server.go
+++ b/caller/server.go
@@ -37,6 +37,7 @@
 // Proposer commits commands to the control group.
 type Proposer interface {
 	Propose(ctx context.Context, command *peer.Command) (*peer.Result, error)
+	AwaitInForce(ctx context.Context, revision uint64) bool
 }
 
 // Recorder counts what a request used, before its last byte goes out.
@@ -109,7 +110,7 @@
 		Handler: s.handle, Name: "auburnscale", ReadBufferSize: config.HeaderBytes,
 		MaxRequestBodySize: config.BodyBytes, Concurrency: config.Connections,
 		ReadTimeout: config.ReadTimeout, IdleTimeout: config.IdleTimeout, WriteTimeout: config.Deadline + writeSlack,
-		ErrorHandler: s.handleBadRequest, NoDefaultServerHeader: true, NoDefaultDate: true,
+		ErrorHandler: s.handleBadRequest, Logger: parts.Logger, NoDefaultServerHeader: true, NoDefaultDate: true,
 		DisablePreParseMultipartForm: true, CloseOnShutdown: true,
 	}
 	return s
@@ -121,7 +122,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	s.counted = &countedListener{Listener: listener}
+	s.counted = &countedListener{Listener: listener, conns: map[net.Conn]bool{}}
 	s.listener = s.counted
 	if s.config.TLS != nil {
 		s.listener = tls.NewListener(s.counted, s.config.TLS)
@@ -150,7 +151,7 @@
 	time.Sleep(notice)
 	s.listener.Close()
 	deadline := time.Now().Add(limit)
-	for s.counted.open.Load() > 0 && time.Now().Before(deadline) {
+	for s.counted.open() > 0 && time.Now().Before(deadline) {
 		time.Sleep(stopPoll)
 	}
 	left := s.open.Load()
@@ -242,11 +243,12 @@
 	failure.write(ctx, "")
 }
 
-// countedListener counts the open connections, so that a planned stop can wait
-// for the last.
+// countedListener knows the open connections, so that a planned stop can wait for
+// the last.
 type countedListener struct {
 	net.Listener
-	open atomic.Int64
+	mutex sync.Mutex
+	conns map[net.Conn]bool
 }
 
 // Accept returns the next connection, counted until it is closed.
@@ -255,18 +257,43 @@
 	if err != nil {
 		return nil, err
 	}
-	l.open.Add(1)
-	return &countedConn{Conn: connection, open: &l.open}, nil
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.conns[connection] = true
+	return &countedConn{Conn: connection, listener: l}, nil
+}
+
+func (l *countedListener) open() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.conns)
+}
+
+func (l *countedListener) closeAll() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for connection := range l.conns {
+		connection.Close()
+	}
 }
 
 type countedConn struct {
 	net.Conn
-	open *atomic.Int64
-	once sync.Once
+	listener *countedListener
 }
 
 // Close closes the connection and takes it from the count.
 func (c *countedConn) Close() error {
-	c.once.Do(func() { c.open.Add(-1) })
+	c.listener.mutex.Lock()
+	delete(c.listener.conns, c.Conn)
+	c.listener.mutex.Unlock()
 	return c.Conn.Close()
 }
+
+// Abort closes the listener and every connection at once.
+func (s *Server) Abort() {
+	s.stopping.Store(true)
+	s.listener.Close()
+	s.counted.closeAll()
+	s.claims.stopAndWait()
+}
--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,7 @@
 	TargetUnknown     = define(406, "target_unknown", zapcore.WarnLevel, "a process announced itself that the inventory does not hold; it gets no work")
 	RequestQuarantine = define(501, "request_quarantined", zapcore.WarnLevel, "a request was in flight when two targets crashed; it is refused for a while")
 	StreamResumed     = define(502, "stream_resumed", zapcore.InfoLevel, "a broken stream goes on from another target at the token where it broke")
+	ConnectionFailed  = define(503, "connection_failed", zapcore.DebugLevel, "a caller's connection broke or sent what is no request")
 	HoldFailed        = define(601, "hold_failed", zapcore.WarnLevel, "no second instance took a copy of the usage counters in time")
 	WindowClosed      = define(602, "window_closed", zapcore.InfoLevel, "a usage window's figures are committed")
 )
@@ -96,3 +97,8 @@
 	}
 	return b.String()
 }
+
+// Printf logs a line of the HTTP library as a numbered event.
+func (l *Logger) Printf(format string, args ...any) {
+	l.Log(ConnectionFailed, zap.String("detail", fmt.Sprintf(format, args...)))
+}
--- a/member/follower.go
+++ b/member/follower.go
@@ -28,7 +28,7 @@
 
 const (
 	// minPause keeps a leader that cannot hold heartbeats from being flooded.
-	minPause = 10 * time.Millisecond
+	minPause = 2 * time.Millisecond
 	// answerSlack is what an answer may take beyond the time it is held.
 	answerSlack = 500 * time.Millisecond
 )
--- a/member/propose.go
+++ b/member/propose.go
@@ -102,3 +102,24 @@
 	}
 	return p.dialer.Peer(address)
 }
+
+// inForcePause is the wait between two questions whether a change is in force.
+const inForcePause = 2 * time.Millisecond
+
+// AwaitInForce waits until no instance may serve keyed requests by a state older
+// than the revision. It returns false if the context ends first.
+func (p *Proposer) AwaitInForce(ctx context.Context, revision uint64) bool {
+	for ctx.Err() == nil {
+		if leader := p.Leader(); leader != nil {
+			status, err := leader.Status(ctx, &peer.StatusRequest{Revision: revision})
+			if err == nil && status.Leading && len(status.MayServe) == 0 {
+				return true
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(inForcePause):
+		}
+	}
+	return false
+}
--- a/member/view.go
+++ b/member/view.go
@@ -27,7 +27,7 @@
 	revision      uint64
 	withdrawn     map[string]bool
 	drains        []*peer.Drain
-	quarantined   map[string]int64
+	quarantined   map[string]*peer.Quarantine
 	members       []*peer.Member
 	membersDigest uint64
 	settledWindow int64
@@ -51,8 +51,13 @@
 // Quarantined reports until when requests with the fingerprint are refused, and
 // whether they are at the time.
 func (v *View) Quarantined(fingerprint string, at time.Time) (time.Time, bool) {
-	until, ok := v.quarantined[fingerprint]
-	return time.UnixMilli(until), ok && at.UnixMilli() < until
+	until := v.quarantined[fingerprint].GetUntilMs()
+	return time.UnixMilli(until), at.UnixMilli() < until
+}
+
+// Crashes returns how many targets crashed with the request in flight.
+func (v *View) Crashes(fingerprint string) int32 {
+	return v.quarantined[fingerprint].GetCrashes()
 }
 
 // Draining reports whether the target, or its failure domain, is drained.
@@ -103,9 +108,9 @@
 	}
 	next.withdrawn = extendSet(v.withdrawn, answer.Withdrawn)
 	next.drains = answer.Drains
-	next.quarantined = map[string]int64{}
+	next.quarantined = map[string]*peer.Quarantine{}
 	for _, q := range answer.Quarantines {
-		next.quarantined[q.Fingerprint] = q.UntilMs
+		next.quarantined[q.Fingerprint] = q
 	}
 	return &next
 }
--- /dev/null
+++ b/serve/cluster_test.go
@@ -0,0 +1,444 @@
+package serve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"auburnscale/event"
+	"auburnscale/inventory"
+	"auburnscale/operator"
+	"auburnscale/settings"
+	"auburnscale/standin"
+)
+
+const (
+	testKey     = "0123456789abcdef0123456789abcdef"
+	waitLimit   = 30 * time.Second
+	waitPause   = 10 * time.Millisecond
+	guildKey    = "guild1.secret"
+	venueKey    = "venue1.secret"
+	venueTwoKey = "venue2.secret"
+)
+
+// A site is a small system in this process: instances, each with its own
+// listeners and folders, and stand-in targets.
+type site struct {
+	t         *testing.T
+	folder    string
+	addresses map[string]map[string]string
+	relays    []*relay
+	settings  map[string]settings.Settings
+	cancel    map[string]context.CancelFunc
+	ended     map[string]chan error
+	processes map[string]*Process
+	engines   []*standin.Engine
+	services  []*standin.Service
+	platform  *standin.Platform
+	number    uint32
+	hosts     int
+	rules     string
+}
+
+var sites atomic.Uint32
+
+// address returns an address of the site's own: every process has its own
+// loopback IP number, so that no outgoing connection takes a listener's port.
+func (s *site) address(port int) string {
+	s.hosts++
+	return fmt.Sprintf("127.77.%d.%d:%d", s.number, s.hosts, port)
+}
+
+var domains = map[string]string{"a1": "hobart", "a2": "hobart", "b1": "launceston", "b2": "launceston"}
+
+// newSite starts stand-ins and prepares four instances, of which a1, a2 and b1
+// are voters. Nothing of the product runs before start.
+func newSite(t *testing.T, engines []standin.EngineConfig, services []standin.ServiceConfig) *site {
+	t.Parallel()
+	s := &site{
+		t: t, folder: t.TempDir(), addresses: map[string]map[string]string{}, settings: map[string]settings.Settings{},
+		cancel: map[string]context.CancelFunc{}, ended: map[string]chan error{}, processes: map[string]*Process{},
+		number: sites.Add(1),
+		rules:  "[[allow]]\nworkspace = \"*\"\nservice = \"*\"\n",
+	}
+	require.NoError(t, os.WriteFile(s.keyFile(), []byte(testKey), 0o600))
+	for _, c := range engines {
+		e := standin.NewEngine(c)
+		require.NoError(t, e.Listen(s.address(8000)))
+		s.engines = append(s.engines, e)
+		t.Cleanup(e.Kill)
+	}
+	for _, c := range services {
+		v := standin.NewService(c)
+		require.NoError(t, v.Listen(s.address(8000)))
+		s.services = append(s.services, v)
+		t.Cleanup(v.Kill)
+	}
+	s.platform = standin.NewPlatform(standin.PlatformConfig{})
+	require.NoError(t, s.platform.Listen(s.address(8000)))
+	t.Cleanup(s.platform.Kill)
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		s.addresses[name] = map[string]string{"caller": s.address(7001), "peer": s.address(7101), "operator": s.address(7201)}
+	}
+	t.Cleanup(s.stopAll)
+	return s
+}
+
+func (s *site) keyFile() string { return filepath.Join(s.folder, "key") }
+
+// settingsOf returns the settings of an instance. The peer addresses of others
+// lead through a relay that the test can cut.
+func (s *site) settingsOf(name string, voterID uint64) settings.Settings {
+	c := settings.Default()
+	own := s.addresses[name]
+	c.Instance, c.FailureDomain = name, domains[name]
+	c.Listen = settings.Listen{Caller: own["caller"], Peer: own["peer"], Operator: own["operator"]}
+	c.Peer.KeyFile, c.Operator.KeyFile = s.keyFile(), s.keyFile()
+	c.InitialVoters = []uint64{1, 2, 3}
+	for i, voter := range []string{"a1", "a2", "b1"} {
+		address := s.addresses[voter]["peer"]
+		if voter != name {
+			address = s.relay(name, voter, address)
+		}
+		c.Voters = append(c.Voters, settings.Voter{ID: uint64(i + 1), Address: address})
+	}
+	if voterID > 0 {
+		c.Voter = settings.Role{ID: voterID, DataFolder: filepath.Join(s.folder, name)}
+	}
+	c.Platform.Address = s.platform.Address()
+	c.Platform.HonoursFencing = true
+	c.Platform.UsageWindow = settings.Duration(2 * time.Second)
+	c.Platform.UsageGrace = settings.Duration(2 * time.Second)
+	c.Control.SyncInterval = settings.Duration(300 * time.Millisecond)
+	c.Control.Freshness = settings.Duration(1500 * time.Millisecond)
+	c.Control.ProbeInterval = settings.Duration(100 * time.Millisecond)
+	c.Control.DrainNotice = settings.Duration(200 * time.Millisecond)
+	return c
+}
+
+// start runs the instances and puts the first configuration in force.
+func (s *site) start() {
+	for i, name := range []string{"a1", "a2", "b1", "b2"} {
+		voterID := uint64(i + 1)
+		if name == "b2" {
+			voterID = 0
+		}
+		s.settings[name] = s.settingsOf(name, voterID)
+		s.run(name)
+	}
+	s.await("the first configuration is accepted", func() bool {
+		answer, err := s.client().Apply(context.Background(), operator.ApplyRequest{Version: 1, Inventory: s.inventory(), Rules: s.rules, Actor: "test"})
+		return err == nil && answer.Accepted && len(answer.InForce) == 4
+	})
+	for name := range s.processes {
+		s.awaitReady(name)
+	}
+}
+
+func (s *site) awaitReady(name string) {
+	s.await(name+" is ready", func() bool {
+		response, err := http.Get("http://" + s.addresses[name]["caller"] + "/readyz")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func (s *site) run(name string) {
+	var p *Process
+	s.await("the listeners of "+name+" open", func() bool {
+		var err error
+		p, err = New(s.settings[name], event.Nop())
+		return err == nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	s.processes[name], s.cancel[name], s.ended[name] = p, cancel, ended
+	go func() { ended <- p.Run(ctx) }()
+}
+
+// stop is a planned stop; it returns what Run returned.
+func (s *site) stop(name string) error {
+	s.cancel[name]()
+	err := <-s.ended[name]
+	delete(s.processes, name)
+	return err
+}
+
+// kill ends an instance at once: its listeners and links close and its loops
+// end, without a last word to anyone.
+func (s *site) kill(name string) {
+	p := s.processes[name]
+	delete(s.processes, name)
+	_ = p.inner.Close()
+	p.callers.Abort()
+	_ = p.operator.Close()
+	p.follower.Stop()
+	p.book.Stop()
+	if p.duties != nil {
+		p.duties.Stop()
+	}
+	if p.voter != nil {
+		p.voter.Stop()
+		p.senders.Close()
+		p.folder.Close()
+	}
+}
+
+func (s *site) stopAll() {
+	for _, r := range s.relays {
+		r.close()
+	}
+	for name := range s.processes {
+		s.kill(name)
+	}
+}
+
+func (s *site) inventory() string {
+	var b strings.Builder
+	b.WriteString("currency = \"AUD\"\n")
+	for _, d := range []string{"hobart", "launceston"} {
+		fmt.Fprintf(&b, "[[failure_domains]]\nname = %q\n", d)
+	}
+	b.WriteString("[[services]]\nname = \"rider\"\nkind = \"engine\"\nmodels = [\"rider\"]\n")
+	b.WriteString("[[services]]\nname = \"desk\"\nkind = \"plain\"\nnon_idempotent = [\"POST /orders\"]\nidempotent = [\"POST /quotes\"]\n")
+	place := []string{"hobart", "launceston"}
+	for i, e := range s.engines {
+		fmt.Fprintf(&b, "[[targets]]\nname = \"e%d\"\nservice = \"rider\"\nfailure_domain = %q\naddress = %q\nhonours_fencing = true\ntoken_cost = 1000\n", i, place[i%2], e.Address())
+	}
+	for i, v := range s.services {
+		fmt.Fprintf(&b, "[[targets]]\nname = \"d%d\"\nservice = \"desk\"\nfailure_domain = %q\naddress = %q\n", i, place[i%2], v.Address())
+	}
+	b.WriteString("[[workspaces]]\nname = \"guild\"\nhome = [\"launceston\"]\n[[workspaces]]\nname = \"venue\"\n")
+	for _, key := range []string{guildKey, venueKey, venueTwoKey} {
+		id, _, _ := strings.Cut(key, ".")
+		fmt.Fprintf(&b, "[[keys]]\nid = %q\nworkspace = %q\nhash = %q\n", id, id[:5], inventory.HashKey(key))
+	}
+	return b.String()
+}
+
+func (s *site) client() *operator.Client {
+	var addresses []string
+	for name := range s.processes {
+		addresses = append(addresses, s.addresses[name]["operator"])
+	}
+	return operator.NewClient(addresses, testKey)
+}
+
+// await repeats a question until the answer is yes. Its limit only bounds a
+// hang; no test asserts a time.
+func (s *site) await(what string, yes func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !yes() {
+		if time.Now().After(deadline) {
+			require.FailNow(s.t, "did not happen: "+what)
+		}
+		time.Sleep(waitPause)
+	}
+}
+
+// leader returns the name of the voter that leads under its lease, or "".
+func (s *site) leader() string {
+	for name, p := range s.processes {
+		if p.voter != nil && p.voter.MayAct() {
+			return name
+		}
+	}
+	return ""
+}
+
+// An answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	err    error
+}
+
+func (a answer) code() string {
+	var failure struct {
+		Error struct {
+			Code   string `json:"code"`
+			NotRun bool   `json:"not_run"`
+		} `json:"error"`
+	}
+	if json.Unmarshal([]byte(a.body), &failure) != nil {
+		return ""
+	}
+	if failure.Error.NotRun {
+		return failure.Error.Code + " not_run"
+	}
+	return failure.Error.Code
+}
+
+func (s *site) post(name, key, path, body string, headers ...string) answer {
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.addresses[name]["caller"]+path, bytes.NewReader([]byte(body)))
+	require.NoError(s.t, err)
+	request.GetBody = nil
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitLimit}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(data), err: err}
+}
+
+// chat asks for a completion in one piece.
+func (s *site) chat(name, key, text string, tokens int) answer {
+	return s.post(name, key, "/v1/chat/completions", chatBody(text, tokens, false))
+}
+
+func chatBody(text string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":"rider","max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":%q}]}`, tokens, stream, text)
+}
+
+// content returns the text of a whole completion.
+func (a answer) content() string {
+	var whole struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(a.body), &whole) != nil || len(whole.Choices) == 0 {
+		return ""
+	}
+	return whole.Choices[0].Message.Content
+}
+
+// streamed returns the text of a stream, and whether its end marker came.
+func (a answer) streamed() (string, bool) {
+	var text strings.Builder
+	for _, line := range strings.Split(a.body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if !ok || json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
+			continue
+		}
+		text.WriteString(chunk.Choices[0].Delta.Content)
+	}
+	return text.String(), strings.Contains(a.body, "data: [DONE]")
+}
+
+func want(text string, tokens int) string { return standin.Output(standin.ChatPrompt(text), tokens) }
+
+// runs returns how often bodies ran at all services, and the highest count.
+func (s *site) runs() (total, most int) {
+	for _, v := range s.services {
+		for _, r := range v.Runs() {
+			total += r.Runs
+			most = max(most, r.Runs)
+		}
+	}
+	return total, most
+}
+
+// A relay passes TCP connections on until it is cut.
+type relay struct {
+	from, to string
+	target   string
+	listener net.Listener
+	mutex    sync.Mutex
+	severed  bool
+	open     map[net.Conn]bool
+}
+
+func (s *site) relay(from, to, target string) string {
+	listener, err := net.Listen("tcp", s.address(7301))
+	require.NoError(s.t, err)
+	r := &relay{from: from, to: to, target: target, listener: listener, open: map[net.Conn]bool{}}
+	s.relays = append(s.relays, r)
+	go r.run()
+	return listener.Addr().String()
+}
+
+func (r *relay) run() {
+	for {
+		connection, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(connection)
+	}
+}
+
+func (r *relay) pass(connection net.Conn) {
+	other, err := net.Dial("tcp", r.target)
+	r.mutex.Lock()
+	if err != nil || r.severed {
+		r.mutex.Unlock()
+		connection.Close()
+		return
+	}
+	r.open[connection], r.open[other] = true, true
+	r.mutex.Unlock()
+	go r.copy(connection, other)
+	r.copy(other, connection)
+}
+
+func (r *relay) copy(to, from net.Conn) {
+	_, _ = io.Copy(to, from)
+	to.Close()
+	from.Close()
+}
+
+func (r *relay) cut(severed bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.severed = severed
+	if !severed {
+		return
+	}
+	for connection := range r.open {
+		connection.Close()
+		delete(r.open, connection)
+	}
+}
+
+func (r *relay) close() {
+	r.listener.Close()
+	r.cut(true)
+}
+
+// cutOff separates the named instances from all others, or joins them again.
+func (s *site) cutOff(severed bool, names ...string) {
+	inside := map[string]bool{}
+	for _, name := range names {
+		inside[name] = true
+	}
+	for _, r := range s.relays {
+		if inside[r.from] != inside[r.to] {
+			r.cut(severed)
+		}
+	}
+}
--- /dev/null
+++ b/serve/failure_test.go
@@ -0,0 +1,386 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"auburnscale/operator"
+	"auburnscale/settings"
+	"auburnscale/standin"
+)
+
+func engines(n int, faults standin.Faults) []standin.EngineConfig {
+	var list []standin.EngineConfig
+	for i := range n {
+		list = append(list, standin.EngineConfig{Name: fmt.Sprintf("e%d", i), Seed: uint64(i), Faults: faults})
+	}
+	return list
+}
+
+// TestCallsThatMayNotRepeat sends non-idempotent calls to services that read,
+// run and close without an answer, or cut the answer. Each body must run once at
+// most, whatever an HTTP library would do by itself, and no answer may claim
+// that a call which ran did not.
+func TestCallsThatMayNotRepeat(t *testing.T) {
+	s := newSite(t, nil, []standin.ServiceConfig{
+		{Name: "d0", Faults: standin.ServiceFaults{CloseEvery: 2}}, {Name: "d1", Faults: standin.ServiceFaults{CutEvery: 2}},
+	})
+	s.start()
+	unknown, confirmed := 0, 0
+	for i := range 40 {
+		headers := []string{}
+		if i%2 == 0 {
+			headers = []string{"Idempotency-Key", fmt.Sprint("k", i)}
+		}
+		a := s.post("a1", guildKey, "/s/desk/orders", fmt.Sprintf(`{"order":%d}`, i), headers...)
+		switch {
+		case a.status == 200:
+			confirmed++
+		case a.code() == "outcome_unknown":
+			unknown++
+		default:
+			require.Fail(t, "unexpected answer", "%d %s %v", a.status, a.body, a.err)
+		}
+	}
+	total, most := s.runs()
+	require.Equal(t, 1, most, "no call ran twice")
+	require.Equal(t, 40, total, "every call ran")
+	require.Equal(t, 40, unknown+confirmed)
+	require.Positive(t, unknown, "the faults took place")
+}
+
+// TestResendThroughEveryInstance resends one order through all instances at
+// once, many times: one run, and every confirmation the same.
+func TestResendThroughEveryInstance(t *testing.T) {
+	s := newSite(t, nil, []standin.ServiceConfig{{Name: "d0", Faults: standin.ServiceFaults{Delay: 50 * time.Millisecond}}})
+	s.start()
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	seen := map[string]int{}
+	for i := range 32 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			a := s.post([]string{"a1", "a2", "b1", "b2"}[i%4], guildKey, "/s/desk/orders", `{"wine":1}`, "Idempotency-Key", "one")
+			mutex.Lock()
+			defer mutex.Unlock()
+			if a.status == 200 {
+				seen[a.body]++
+				return
+			}
+			require.Equal(t, "outcome_unknown", a.code(), a.body)
+		}()
+	}
+	group.Wait()
+	require.Len(t, seen, 1)
+	total, _ := s.runs()
+	require.Equal(t, 1, total)
+	other := s.post("a1", guildKey, "/s/desk/orders", `{"wine":2}`, "Idempotency-Key", "one")
+	require.Equal(t, "idempotency_key_conflict not_run", other.code())
+}
+
+// TestConfirmationSurvivesLeader kills the control leader after an order and
+// resends it.
+func TestConfirmationSurvivesLeader(t *testing.T) {
+	s := newSite(t, nil, []standin.ServiceConfig{{Name: "d0"}})
+	s.start()
+	first := s.post("b2", guildKey, "/s/desk/orders", `{"flowers":1}`, "Idempotency-Key", "f")
+	require.Equal(t, 200, first.status, first.body)
+	old := s.leader()
+	s.kill(old)
+	s.await("another leader", func() bool { return s.leader() != "" })
+	s.await("the same confirmation", func() bool {
+		return s.post("b2", guildKey, "/s/desk/orders", `{"flowers":1}`, "Idempotency-Key", "f").body == first.body
+	})
+	total, _ := s.runs()
+	require.Equal(t, 1, total)
+}
+
+// TestBrokenStreamsResume cuts some streams in the middle and echoes some wrong
+// ids, at a rate that the retry budget covers: every answer must be whole and its own, without a gap or a repeat.
+func TestBrokenStreamsResume(t *testing.T) {
+	s := newSite(t, engines(4, standin.Faults{CutEvery: 7, CrossEvery: 11}), nil)
+	s.start()
+	for i := range 24 {
+		text := fmt.Sprintf("rider %d", i)
+		a := s.post("a1", guildKey, "/v1/chat/completions", chatBody(text, 12, true))
+		require.Equal(t, 200, a.status, a.body)
+		got, done := a.streamed()
+		require.True(t, done, a.body)
+		require.Equal(t, want(text, 12), got)
+	}
+}
+
+// TestPoisonReachesTwoTargets resends a request that crashes every target that
+// runs it, through all instances. Two targets in the whole system may die of it.
+func TestPoisonReachesTwoTargets(t *testing.T) {
+	s := newSite(t, engines(6, standin.Faults{CrashMarker: "poison"}), nil)
+	s.start()
+	for i := range 12 {
+		a := s.chat([]string{"a1", "a2", "b1", "b2"}[i%4], guildKey, "poison", 5)
+		require.NotEqual(t, 200, a.status)
+	}
+	reached := 0
+	for _, e := range s.engines {
+		reached += int(e.Arrivals())
+	}
+	require.LessOrEqual(t, reached, 2)
+	s.await("other requests go on", func() bool { return s.chat("a1", guildKey, "fine", 5).content() == want("fine", 5) })
+}
+
+// TestWithdrawnKeyStops withdraws a key and asks everywhere; a stream that runs
+// already goes on, a later request does not.
+func TestWithdrawnKeyStops(t *testing.T) {
+	s := newSite(t, engines(2, standin.Faults{}), nil)
+	s.start()
+	require.Equal(t, 200, s.chat("b2", venueTwoKey, "x", 2).status)
+	answer, err := s.client().Withdraw(context.Background(), operator.WithdrawRequest{KeyID: "venue2", Actor: "test"})
+	require.NoError(t, err)
+	require.True(t, answer.Complete, answer.Sentence)
+	for name := range s.processes {
+		require.Equal(t, "key_withdrawn not_run", s.chat(name, venueTwoKey, "x", 2).code())
+		require.Equal(t, 200, s.chat(name, venueKey, "x", 2).status)
+	}
+}
+
+// TestCutOffDomain cuts launceston off. It serves the workspaces at home there
+// and refuses the others, the withdrawal says truly where a key still works, and
+// no order is claimed there.
+func TestCutOffDomain(t *testing.T) {
+	s := newSite(t, engines(2, standin.Faults{}), []standin.ServiceConfig{{Name: "d0"}, {Name: "d1"}})
+	s.start()
+	s.cutOff(true, "b1", "b2")
+	s.await("freshness runs out", func() bool { return s.chat("b2", venueKey, "x", 2).code() == "cut_off not_run" })
+	require.Equal(t, 200, s.chat("b2", guildKey, "x", 2).status, "the guild is at home here")
+	order := s.post("b2", guildKey, "/s/desk/orders", `{"cut":1}`, "Idempotency-Key", "c", "X-Timeout-Ms", "500")
+	require.Equal(t, "cut_off not_run", order.code(), order.body)
+	total, _ := s.runs()
+	require.Zero(t, total)
+
+	s.await("a leader on the larger side", func() bool { return s.leader() == "a1" || s.leader() == "a2" })
+	side := operator.NewClient([]string{s.addresses["a1"]["operator"]}, testKey)
+	venue, err := side.Withdraw(context.Background(), operator.WithdrawRequest{KeyID: "venue1", Actor: "test"})
+	require.NoError(t, err)
+	require.True(t, venue.Complete, venue.Sentence)
+	require.Equal(t, "cut_off not_run", s.chat("b2", venueKey, "x", 2).code())
+
+	guild, err := side.Withdraw(context.Background(), operator.WithdrawRequest{KeyID: "guild1", Actor: "test"})
+	require.NoError(t, err)
+	require.False(t, guild.Complete)
+	require.Equal(t, []string{"b1", "b2"}, guild.MayServe)
+	require.Equal(t, 200, s.chat("b2", guildKey, "x", 2).status, "the sentence says that it still works, and it does")
+
+	there := operator.NewClient([]string{s.addresses["b2"]["operator"]}, testKey)
+	_, err = there.Withdraw(context.Background(), operator.WithdrawRequest{KeyID: "guild1", InstanceOnly: true, Actor: "test"})
+	require.NoError(t, err)
+	require.Equal(t, "key_withdrawn not_run", s.chat("b2", guildKey, "x", 2).code())
+
+	s.cutOff(false, "b1", "b2")
+	s.await("the cut-off side follows", func() bool { return s.chat("b1", guildKey, "x", 2).code() == "key_withdrawn not_run" })
+}
+
+// TestPlannedStopCutsNothing stops an instance under streams and short calls.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	s := newSite(t, engines(2, standin.Faults{}), []standin.ServiceConfig{{Name: "d0"}})
+	s.start()
+	var group sync.WaitGroup
+	answers := make(chan answer, 64)
+	for i := range 8 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			answers <- s.post("b2", guildKey, "/v1/chat/completions", chatBody(fmt.Sprint("long ", i), 60, true))
+		}()
+	}
+	s.await("the streams are open", func() bool { return s.processes["b2"].callers.Open() >= 8 })
+	require.NoError(t, s.stop("b2"))
+	group.Wait()
+	close(answers)
+	for a := range answers {
+		require.NoError(t, a.err)
+		_, done := a.streamed()
+		require.True(t, done, "%d %s", a.status, a.body)
+	}
+	status, err := s.client().Status(context.Background())
+	require.NoError(t, err)
+	require.Len(t, status.Members, 3, "a planned stop leaves the control group")
+}
+
+// TestUsageSurvivesAKill kills an instance right after its answers. The reported
+// figures must be what callers were sent, to the token.
+func TestUsageSurvivesAKill(t *testing.T) {
+	s := newSite(t, engines(2, standin.Faults{}), nil)
+	s.start()
+	sent := 0
+	for i := range 10 {
+		name := []string{"a1", "b2"}[i%2]
+		a := s.chat(name, guildKey, fmt.Sprint("riders ", i), 7+i)
+		require.Equal(t, 200, a.status, a.body)
+		sent += 7 + i
+	}
+	s.kill("b2")
+	s.await("the figures", func() bool { return s.reported(`"workspace":"guild"`) == sent })
+	require.Empty(t, s.platform.Record().Breaches)
+}
+
+// reported sums the output tokens that the platform was told of.
+func (s *site) reported(workspace string) int {
+	sum := 0
+	for _, raw := range s.platform.Record().Reports {
+		for _, part := range strings.Split(string(raw), "{") {
+			var tokens int
+			_, after, ok := strings.Cut(part, `"output_tokens":`)
+			if ok && strings.Contains(part, workspace) {
+				_, _ = fmt.Sscanf(after, "%d", &tokens)
+			}
+			sum += tokens
+		}
+	}
+	return sum
+}
+
+// TestOperatorsRace applies two configurations under one number from many hands:
+// one wins, the rest hear of a conflict, and the winner may be sent again.
+func TestOperatorsRace(t *testing.T) {
+	s := newSite(t, nil, nil)
+	s.start()
+	results := make(chan *operator.ChangeAnswer, 16)
+	var group sync.WaitGroup
+	for i := range 16 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			rules := s.rules + strings.Repeat("# changed\n", i%2+1)
+			answer, err := s.client().Apply(context.Background(), operator.ApplyRequest{Version: 2, Inventory: s.inventory(), Rules: rules, Actor: fmt.Sprint(i)})
+			require.NoError(t, err)
+			results <- answer
+		}()
+	}
+	group.Wait()
+	close(results)
+	accepted := 0
+	for r := range results {
+		if r.Accepted {
+			accepted++
+			continue
+		}
+		require.Contains(t, r.Detail, "version 2 was accepted with digest")
+	}
+	require.Equal(t, 8, accepted, "the winner's eight and nobody else")
+}
+
+// TestConfigurationNeverStepsBack restarts instances one after another while
+// versions go on: none may decide by a lower version than it did.
+func TestConfigurationNeverStepsBack(t *testing.T) {
+	s := newSite(t, nil, nil)
+	s.start()
+	for version := uint64(2); version <= 6; version++ {
+		answer, err := s.client().Apply(context.Background(), operator.ApplyRequest{
+			Version: version, Inventory: s.inventory(), Rules: s.rules + fmt.Sprintf("# %d\n", version), Actor: "test",
+		})
+		require.NoError(t, err)
+		require.True(t, answer.Accepted, answer.Detail)
+		name := []string{"a1", "b1", "a2", "b2", "a1"}[version-2]
+		s.kill(name)
+		s.run(name)
+		s.awaitReady(name)
+		require.GreaterOrEqual(t, s.processes[name].follower.View().Version(), version)
+	}
+}
+
+// TestAnnouncedTargets lets only targets of the inventory in.
+func TestAnnouncedTargets(t *testing.T) {
+	s := newSite(t, engines(1, standin.Faults{}), nil)
+	s.start()
+	known := fmt.Sprintf(`{"name":"e0","address":%q}`, s.engines[0].Address())
+	require.Equal(t, 200, s.post("a1", "", "/targets/announce", known).status)
+	require.Equal(t, 404, s.post("a1", "", "/targets/announce", `{"name":"e0","address":"127.0.0.1:9"}`).status)
+	require.Equal(t, 404, s.post("a1", "", "/targets/announce", `{"name":"stranger","address":"127.0.0.1:9"}`).status)
+}
+
+// TestDrainedTargetGetsNoWork drains one of two engines.
+func TestDrainedTargetGetsNoWork(t *testing.T) {
+	s := newSite(t, engines(2, standin.Faults{}), nil)
+	s.start()
+	answer, err := s.client().Drain(context.Background(), operator.DrainRequest{Kind: "target", Name: "e0", Actor: "test"})
+	require.NoError(t, err)
+	require.True(t, answer.Accepted)
+	s.await("fleets follow", func() bool {
+		for _, p := range s.processes {
+			if len(p.book.Service("rider").Fleet().Targets()) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	before := s.engines[0].Arrivals()
+	for i := range 10 {
+		require.Equal(t, 200, s.chat("b1", guildKey, fmt.Sprint(i), 2).status)
+	}
+	require.Equal(t, before, s.engines[0].Arrivals())
+}
+
+// TestRoleOrders changes a role in the inventory. The engine gets the order once,
+// with the epoch, also over a change of leader.
+func TestRoleOrders(t *testing.T) {
+	s := newSite(t, []standin.EngineConfig{{Name: "e0", Timing: standin.Timing{Step: time.Millisecond, PrefillToken: time.Microsecond, DecodeStream: time.Microsecond, RoleChange: 50 * time.Millisecond}}}, nil)
+	s.start()
+	changed := strings.Replace(s.inventory(), "token_cost = 1000\n", "token_cost = 1000\nrole = \"prefill\"\n", 1)
+	answer, err := s.client().Apply(context.Background(), operator.ApplyRequest{Version: 2, Inventory: changed, Rules: s.rules, Actor: "test"})
+	require.NoError(t, err)
+	require.True(t, answer.Accepted)
+	s.await("the order", func() bool { return len(s.engines[0].Orders()) == 1 })
+	s.kill(s.leader())
+	s.await("another leader", func() bool { return s.leader() != "" })
+	time.Sleep(3 * dutyPause)
+	orders := s.engines[0].Orders()
+	require.Len(t, orders, 1)
+	require.Equal(t, "prefill", orders[0].Role)
+	require.Positive(t, orders[0].Epoch)
+}
+
+// dutyPause is one look of the leader at what is to be done.
+const dutyPause = 500 * time.Millisecond
+
+func TestBadInput(t *testing.T) {
+	s := newSite(t, engines(1, standin.Faults{}), []standin.ServiceConfig{{Name: "d0"}})
+	s.start()
+	cases := []struct {
+		name, key, path, body string
+		status                int
+		code                  string
+	}{
+		{"no key", "", "/v1/chat/completions", chatBody("x", 2, false), 401, "key_missing not_run"},
+		{"wrong key", "guild1.other", "/v1/chat/completions", chatBody("x", 2, false), 401, "key_invalid not_run"},
+		{"unknown model", guildKey, "/v1/chat/completions", `{"model":"none","messages":[{"role":"user","content":"x"}]}`, 404, "unknown_model not_run"},
+		{"not JSON", guildKey, "/v1/chat/completions", `{"model":`, 400, "bad_request not_run"},
+		{"no prompt", guildKey, "/v1/chat/completions", `{"model":"rider"}`, 400, "bad_request not_run"},
+		{"negative length", guildKey, "/v1/chat/completions", chatBody("x", -1, false), 400, "bad_request not_run"},
+		{"unknown service", guildKey, "/s/none/orders", `{}`, 404, "unknown_service not_run"},
+		{"engine as service", guildKey, "/s/rider/orders", `{}`, 404, "unknown_service not_run"},
+		{"unknown path", guildKey, "/v2/none", `{}`, 404, "no_such_path not_run"},
+		{"long key", guildKey, "/s/desk/orders", `{}`, 400, "bad_request not_run"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			headers := []string{}
+			if c.name == "long key" {
+				headers = []string{"Idempotency-Key", strings.Repeat("k", 201)}
+			}
+			a := s.post("a1", c.key, c.path, c.body, headers...)
+			require.Equal(t, c.status, a.status, a.body)
+			require.Equal(t, c.code, a.code(), a.body)
+		})
+	}
+	big := s.post("a1", guildKey, "/v1/completions", strings.Repeat("x", settings.Default().Caller.BodyBytes+1))
+	require.Contains(t, []string{"too_large not_run", ""}, big.code(), big.body)
+	flood := s.post("a1", guildKey, "/v1/completions", "{}", "X-Flood", strings.Repeat("x", settings.Default().Caller.HeaderBytes))
+	require.Equal(t, "too_large not_run", flood.code(), flood.body)
+	require.Zero(t, s.engines[0].Arrivals())
+}
--- a/standin/server.go
+++ b/standin/server.go
@@ -28,7 +28,7 @@
 		return err
 	}
 	s.listener = &trackedListener{Listener: listener, open: map[net.Conn]bool{}}
-	s.http = &fasthttp.Server{Handler: echoID(handler), MaxRequestBodySize: maxBody, NoDefaultServerHeader: true}
+	s.http = &fasthttp.Server{Handler: echoID(handler), MaxRequestBodySize: maxBody, NoDefaultServerHeader: true, Logger: silent{}}
 	go s.run()
 	return nil
 }
@@ -41,6 +41,12 @@
 // Kill cuts every connection and stops listening.
 func (s *server) Kill() { s.listener.kill() }
 
+// silent drops the HTTP library's words about connections that a fault cut.
+type silent struct{}
+
+// Printf drops the line.
+func (silent) Printf(string, ...any) {}
+
 func echoID(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		if id := ctx.Request.Header.Peek(requestIDHeader); len(id) > 0 {
