--- a/load/result.go
+++ b/load/result.go
@@ -13,18 +13,18 @@
 
 // A Result represents what a load came to. Times are in milliseconds.
 type Result struct {
-	Seconds    float64            `json:"seconds"`
-	Sent       int                `json:"sent"`
-	Answered   int                `json:"answered"`
-	Good       int                `json:"good"`
-	Wrong      int                `json:"wrong"`
-	Codes      map[string]int     `json:"codes"`
-	Workspaces []WorkspaceResult  `json:"workspaces"`
-	FirstToken Percentiles        `json:"first_token_ms"`
-	Between    Percentiles        `json:"between_tokens_ms"`
-	Total      Percentiles        `json:"total_ms"`
-	WrongNotes []string           `json:"wrong_notes,omitempty"`
-	Extra      map[string]float64 `json:"extra,omitempty"`
+	Seconds    float64           `json:"seconds"`
+	Sent       int               `json:"sent"`
+	Answered   int               `json:"answered"`
+	Good       int               `json:"good"`
+	GoodTokens int64             `json:"good_tokens"`
+	Wrong      int               `json:"wrong"`
+	Codes      map[string]int    `json:"codes"`
+	Workspaces []WorkspaceResult `json:"workspaces"`
+	FirstToken Percentiles       `json:"first_token_ms"`
+	Between    Percentiles       `json:"between_tokens_ms"`
+	Total      Percentiles       `json:"total_ms"`
+	WrongNotes []string          `json:"wrong_notes,omitempty"`
 }
 
 // A WorkspaceResult represents one workspace's part.
@@ -104,6 +104,7 @@
 		w.OutputTokens += int64(o.tokens)
 		if o.good(plan) {
 			r.Good++
+			r.GoodTokens += int64(o.tokens)
 			w.Good++
 		}
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -155,7 +155,6 @@
 	checkChoice(path, "policy.routing", s.Policy.Routing, []string{"affinity", "least_in_flight", "round_robin"}, list)
 	checkChoice(path, "policy.admission", s.Policy.Admission, []string{"fair", "fifo"}, list)
 	checkChoice(path, "policy.retries", s.Policy.Retries, []string{"budget", "three_times"}, list)
-	checkChoice(path, "policy.roles", s.Policy.Roles, []string{"never", "greedy", "horizon"}, list)
 	if s.Policy.Hot < 1 {
 		list.Add(path, "policy.hot", "must be 1 or more, is %g", s.Policy.Hot)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -118,7 +118,6 @@
 	Routing    string  `toml:"routing" doc:"affinity, least_in_flight or round_robin"`
 	Admission  string  `toml:"admission" doc:"fair or fifo"`
 	Retries    string  `toml:"retries" doc:"budget or three_times"`
-	Roles      string  `toml:"roles" doc:"never, greedy or horizon"`
 	Hot        float64 `toml:"hot" doc:"most in-flight work on a target relative to the mean before prefix affinity is given up"`
 	RetryShare float64 `toml:"retry_share" doc:"retries allowed per request of a workspace over time"`
 }
@@ -137,6 +136,6 @@
 			ProbeInterval: Duration(500 * time.Millisecond), ClaimRetain: Duration(24 * time.Hour),
 			DrainNotice: Duration(2 * time.Second), StopLimit: Duration(2 * time.Minute),
 		},
-		Policy: Policy{Routing: "affinity", Admission: "fair", Retries: "budget", Roles: "horizon", Hot: 1.5, RetryShare: 0.1},
+		Policy: Policy{Routing: "affinity", Admission: "fair", Retries: "budget", Hot: 1.5, RetryShare: 0.1},
 	}
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -341,6 +341,14 @@
 	return e.arrivals
 }
 
+// CacheUse returns the prompt pieces found in the prefix cache, and all that were
+// looked for.
+func (e *Engine) CacheUse() (found, asked int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.batch.cache.hits, e.batch.cache.asked
+}
+
 func (e *Engine) crashes(arrival uint64, prompt string) bool {
 	f := e.config.Faults
 	return f.CrashAt > 0 && arrival == uint64(f.CrashAt) || f.CrashMarker != "" && strings.Contains(prompt, f.CrashMarker)
