Judge a target's room by its waiting prompts too

Cause: HasRoom looked at slots alone, and a request's prompt counted as waiting until the whole request ended. Change: prompt work is taken back at the first token and without its cached part; a target whose backlog is over 0.4 s of prompts has no room.

--- a/caller/call.go
+++ b/caller/call.go
@@ -179,8 +179,8 @@
 }
 
 func (s *Server) send(ctx context.Context, c *call, t *route.Target) (*service.Answer, error) {
-	t.Begin(callWork)
-	defer t.End(callWork)
+	t.Begin(0)
+	defer t.End()
 	answer, err := s.parts.Services.Call(ctx, t.Address(), c.out)
 	if err != nil || answer.Status() >= fasthttp.StatusInternalServerError {
 		c.service.Failed(t)
--- a/caller/run.go
+++ b/caller/run.go
@@ -75,6 +75,7 @@
 	if err != nil {
 		return nil, r.broken(err)
 	}
+	r.prefilled()
 	return chunk, nil
 }
 
@@ -92,7 +93,7 @@
 		return refuse(fasthttp.StatusBadRequest, CodeBadRequest, err.Error())
 	}
 	r.server.countRoute(decision.Reason())
-	r.hold(t)
+	r.hold(t, r.prompt-decision.Cached())
 	r.attempts++
 	r.stream, err = r.server.parts.Engines.Complete(r.ctx, t.Address(), engine.Request{
 		ID: r.c.id, Path: r.c.path, Body: body, Priority: r.c.ticket.Priority(), ResumeAt: r.position,
@@ -111,11 +112,21 @@
 	return refuse(fasthttp.StatusServiceUnavailable, CodeNoTarget, "no target of the service is usable now").after(time.Second)
 }
 
-func (r *run) hold(t *route.Target) {
+func (r *run) hold(t *route.Target, work int64) {
 	r.target = t
 	r.origin = r.server.parts.Book.Incarnation(t.Name())
-	r.work = r.prompt
-	t.Begin(r.work)
+	r.work = work
+	t.Begin(work)
+}
+
+// prefilled notes that the target has sent its first chunk, and so has worked
+// through the prompt.
+func (r *run) prefilled() {
+	if r.target != nil && r.work > 0 {
+		r.target.Prefilled(r.work)
+		r.work = 0
+		r.c.service.Queue().Pump()
+	}
 }
 
 func (r *run) release() {
@@ -124,7 +135,8 @@
 		r.stream = nil
 	}
 	if r.target != nil {
-		r.target.End(r.work)
+		r.prefilled()
+		r.target.End()
 		r.target = nil
 	}
 }
@@ -231,6 +243,7 @@
 	for {
 		chunk, err := r.stream.Next()
 		if err == nil {
+			r.prefilled()
 			return chunk, nil, nil
 		}
 		if err == io.EOF {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -95,8 +95,8 @@
 	target.Begin(100)
 	require.Equal(t, int64(4), target.Requests())
 	require.False(t, target.HasRoom())
-	target.End(100)
-	target.End(100)
+	target.End()
+	target.End()
 	require.Equal(t, int64(2), target.Requests())
 }
 
--- a/route/target.go
+++ b/route/target.go
@@ -80,17 +80,17 @@
 // TokenCost returns the price of a thousand tokens in millionths.
 func (t *Target) TokenCost() int64 { return t.cost }
 
-// Begin counts a request of so much work, in tokens, as in flight.
+// Begin counts a request with so many prompt tokens to prefill as in flight.
 func (t *Target) Begin(work int64) {
 	t.inFlight.Add(1)
 	t.work.Add(work)
 }
 
-// End takes back what Begin counted.
-func (t *Target) End(work int64) {
-	t.inFlight.Add(-1)
-	t.work.Add(-work)
-}
+// Prefilled takes back the prompt tokens, once the first token has come.
+func (t *Target) Prefilled(work int64) { t.work.Add(-work) }
+
+// End takes back the request.
+func (t *Target) End() { t.inFlight.Add(-1) }
 
 // InFlight returns this instance's requests on the target.
 func (t *Target) InFlight() int64 { return t.inFlight.Load() }
@@ -165,8 +165,18 @@
 	return r != nil && r.away
 }
 
-// HasRoom reports whether the target is estimated to have a free slot.
-func (t *Target) HasRoom() bool { return !t.Away() && t.Requests() < int64(t.slots) }
+// maxBacklog, in seconds, is the prompt work that may wait on a target before it
+// has no room. It leaves most of the first token's 1.3 s to the prompt itself.
+const maxBacklog = 0.4
+
+// HasRoom reports whether the target is estimated to have a free slot, and so
+// little prompt work waiting that a new prompt would start soon.
+func (t *Target) HasRoom() bool {
+	if t.Away() || t.Requests() >= int64(t.slots) {
+		return false
+	}
+	return float64(t.waitingWork()) < maxBacklog*t.PrefillRate()
+}
 
 // A Fleet represents the usable targets of one service. It is immutable but for
 // the targets' counters.
