Predict the queue's wait from its own pace, and refuse what cannot be in time

Cause: the prediction took a request's whole time over the running ones, which says nothing about a queue that waits for prompts to pass; and a request could wait past its first token's time. Change: the queue learns the time between admissions while requests wait; a request waits at most its first token's time less its own prompt's, and is then refused with the time to come back. What is left over 1.3 s is admitted by several instances at once on the same lagging reports.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -45,6 +45,9 @@
 	Weight    float64
 	// Work is the request's price in tokens.
 	Work float64
+	// Lead is the time that the request still needs for its first token once
+	// it is admitted. It shortens the wait that is accepted.
+	Lead time.Duration
 }
 
 // A Refusal represents a request that was not admitted. No byte of it has been
@@ -65,10 +68,14 @@
 	// a batch decodes one token of each stream in about the time that it
 	// prefills this many.
 	decodePrice = 4.0
-	// smoothing is the weight of a new service time in its average.
-	smoothing = 0.05
-	// firstServiceTime holds until requests have ended.
+	// smoothing is the weight of a new time between admissions in their mean.
+	smoothing = 0.1
+	// firstServiceTime stands for a request's time until a pace is known.
 	firstServiceTime = time.Second
+	// minWait is the wait that every request is granted.
+	minWait = 50 * time.Millisecond
+	// minRetry is the shortest time after which a caller is told to come back.
+	minRetry = 100 * time.Millisecond
 	// priorityLevels is the number of priorities; half a doubling above the
 	// fair share makes one step.
 	priorityLevels = 8
@@ -96,7 +103,12 @@
 	virtual  float64
 	spaces   map[string]*space
 	running  int
-	service  time.Duration
+
+	// pace is the mean time between two admissions while requests waited,
+	// which some have done since queuedSince.
+	pace          time.Duration
+	lastAdmission time.Time
+	queuedSince   time.Time
 
 	// total and weights sum the recent work and the weights of the workspaces
 	// that have any, as of summed and what was dispatched since.
@@ -117,7 +129,6 @@
 	queue    *Queue
 	space    *space
 	priority int
-	began    time.Time
 	work     float64
 	once     sync.Once
 
@@ -129,7 +140,7 @@
 
 // New returns an empty queue before the room.
 func New(config Config, room Room) *Queue {
-	return &Queue{config: config, room: room, spaces: map[string]*space{}, service: firstServiceTime}
+	return &Queue{config: config, room: room, spaces: map[string]*space{}}
 }
 
 // SetRoom replaces the room after the service's targets changed.
@@ -147,15 +158,37 @@
 	if err != nil {
 		return nil, err
 	}
+	timer := time.NewTimer(q.longest(r))
+	defer timer.Stop()
 	select {
 	case <-t.admitted:
 		return t, nil
+	case <-timer.C:
+		return nil, q.giveUp(t, "no target came free in time for the first token")
 	case <-ctx.Done():
-		q.abandon(t)
-		return nil, &Refusal{reason: "the deadline passed while the request waited for a target", retryAfter: time.Second}
+		return nil, q.giveUp(t, "the deadline passed while the request waited for a target")
 	}
 }
 
+// longest returns the wait that still leaves the request its time.
+func (q *Queue) longest(r Request) time.Duration {
+	return max(minWait, q.config.MaxWait-r.Lead)
+}
+
+// giveUp takes a waiting request out of the queue. The refusal says when the
+// queue, as long as it is, will have passed.
+func (q *Queue) giveUp(t *Ticket, reason string) error {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	select {
+	case <-t.admitted:
+		q.leaveLocked()
+	default:
+		heap.Remove(&q.waiting, t.index)
+	}
+	return &Refusal{reason: reason, retryAfter: max(minRetry, q.wait(len(q.waiting)))}
+}
+
 func (q *Queue) join(r Request, now time.Time) (*Ticket, error) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -164,11 +197,14 @@
 		return q.admitNow(q.ticket(s, r, now)), nil
 	}
 	t := q.ticket(s, r, now)
-	if err := q.predict(t); err != nil {
+	if err := q.predict(t, q.longest(r)); err != nil {
 		return nil, err
 	}
 	s.finish = t.start + r.Work/s.weight
 	heap.Push(&q.waiting, t)
+	if q.queuedSince.IsZero() {
+		q.queuedSince, q.lastAdmission = now, now
+	}
 	q.pumpLocked()
 	return t, nil
 }
@@ -187,7 +223,7 @@
 // requests have had their share, but not before the present virtual time.
 func (q *Queue) ticket(s *space, r Request, now time.Time) *Ticket {
 	q.sequence++
-	t := &Ticket{queue: q, space: s, began: now, work: r.Work, sequence: q.sequence, admitted: make(chan struct{})}
+	t := &Ticket{queue: q, space: s, work: r.Work, sequence: q.sequence, admitted: make(chan struct{})}
 	if q.config.Fair {
 		t.start = max(q.virtual, s.finish)
 	}
@@ -200,9 +236,9 @@
 	return t
 }
 
-// predict refuses a request that cannot start within MaxWait, judged by the
-// requests ahead of it and the rate at which slots come free.
-func (q *Queue) predict(t *Ticket) error {
+// predict refuses a request that cannot start within the limit, judged by the
+// requests ahead of it and the pace at which waiting ones were admitted lately.
+func (q *Queue) predict(t *Ticket, limit time.Duration) error {
 	if len(q.waiting) >= q.config.MaxQueue {
 		return &Refusal{reason: fmt.Sprintf("%d requests wait already", len(q.waiting)), retryAfter: q.wait(len(q.waiting))}
 	}
@@ -213,17 +249,32 @@
 		}
 	}
 	wait := q.wait(ahead + 1)
-	if wait > q.config.MaxWait {
-		return &Refusal{reason: fmt.Sprintf("the request would wait %v for a target", wait.Round(time.Millisecond)), retryAfter: wait}
+	if wait > limit {
+		return &Refusal{reason: fmt.Sprintf("the request would wait %v for a target", wait.Round(time.Millisecond)), retryAfter: max(minRetry, wait)}
 	}
 	return nil
 }
 
-// wait predicts the time until so many requests have started. Only the part of
-// the slots that this instance fills comes free for it.
+// wait predicts the time until so many waiting requests have been admitted.
 func (q *Queue) wait(ahead int) time.Duration {
-	share := max(1, q.running)
-	return time.Duration(float64(q.service) * float64(ahead) / float64(share))
+	if q.pace > 0 {
+		return time.Duration(float64(q.pace) * float64(ahead))
+	}
+	return time.Duration(float64(firstServiceTime) * float64(ahead) / float64(max(1, q.running)))
+}
+
+// notePace learns the time between two admissions while requests wait.
+func (q *Queue) notePace(now time.Time) {
+	since := now.Sub(q.lastAdmission)
+	q.lastAdmission = now
+	if q.queuedSince.IsZero() || now.Sub(q.queuedSince) < since {
+		return
+	}
+	if q.pace == 0 {
+		q.pace = since
+		return
+	}
+	q.pace = time.Duration((1-smoothing)*float64(q.pace) + smoothing*float64(since))
 }
 
 // Pump admits waiting requests while there is room. It is called when a request
@@ -237,8 +288,12 @@
 func (q *Queue) pumpLocked() {
 	for len(q.waiting) > 0 && q.room.HasRoom() && q.running < q.limit() {
 		t := heap.Pop(&q.waiting).(*Ticket)
+		q.notePace(time.Now())
 		q.dispatch(t)
 	}
+	if len(q.waiting) == 0 {
+		q.queuedSince = time.Time{}
+	}
 }
 
 // limit keeps one pump from admitting more than the fleet can take before the
@@ -297,17 +352,6 @@
 	s.at = now
 }
 
-func (q *Queue) abandon(t *Ticket) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	select {
-	case <-t.admitted:
-		q.leaveLocked(t)
-	default:
-		heap.Remove(&q.waiting, t.index)
-	}
-}
-
 // Priority returns the engine priority, 0 first.
 func (t *Ticket) Priority() int { return t.priority }
 
@@ -316,15 +360,13 @@
 	t.once.Do(func() {
 		t.queue.mutex.Lock()
 		defer t.queue.mutex.Unlock()
-		t.queue.leaveLocked(t)
+		t.queue.leaveLocked()
 		t.queue.pumpLocked()
 	})
 }
 
-func (q *Queue) leaveLocked(t *Ticket) {
+func (q *Queue) leaveLocked() {
 	q.running--
-	took := float64(time.Since(t.began))
-	q.service = time.Duration((1-smoothing)*float64(q.service) + smoothing*took)
 }
 
 // Waiting returns the number of waiting requests.
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -209,7 +209,7 @@
 	if len(c.service.Fleet().Targets()) == 0 {
 		return refuse(fasthttp.StatusServiceUnavailable, CodeNoTarget, "no target of the service is usable now").after(time.Second)
 	}
-	ticket, err := c.service.Queue().Enter(ctx, admit.Request{Workspace: c.who.workspace.Name, Weight: c.who.workspace.Weight, Work: work})
+	ticket, err := c.service.Queue().Enter(ctx, admit.Request{Workspace: c.who.workspace.Name, Weight: c.who.workspace.Weight, Work: work, Lead: s.lead(c)})
 	if err != nil {
 		return refusalOf(err, CodeOverloaded)
 	}
@@ -221,6 +221,19 @@
 	return nil
 }
 
+// lead estimates the time to the first token on an idle target: the prompt,
+// without what some target is thought to hold of it.
+func (s *Server) lead(c *completion) time.Duration {
+	fleet := c.service.Fleet()
+	targets := fleet.Targets()
+	if len(targets) == 0 {
+		return 0
+	}
+	depth, _ := fleet.Index().Longest(c.pieces, nil)
+	left := engine.PromptTokens(c.prompt) - int64(depth)*c.pieceTokens
+	return time.Duration(float64(max(0, left)) / targets[0].PrefillRate() * float64(time.Second))
+}
+
 func (s *Server) takeLimit(who identity, model string, work float64) *Failure {
 	service := who.view.Snapshot().ServiceOfModel(model)
 	limit, ok := who.view.Snapshot().Limit(who.workspace.Name, service.Name)
