Model when an engine looks at its cache, and agree on a home for new prefixes

Cause: the stand-in looked its cache up when a request joined the batch, so that requests behind a prompt still being computed computed it again; engines look when the prompt's turn comes. And instances that do not see each other's dispatches each filled a cache of their own with a new prefix. Change: the stand-in's cache is looked at and filled as prompts are computed; a prefix that no target is known to hold goes to the target that its hash gives, unless that is 0.2 s slower; a holder with too much backlog is hot.

--- a/experiment/site.go
+++ b/experiment/site.go
@@ -27,8 +27,10 @@
 	peerPort    = 7101
 	toolPort    = 7201
 	enginePort  = 8000
-	// network is the loopback network of experiments, one host per process.
-	network = "127.78"
+	// firstNetwork and networks are the loopback networks of experiments; each
+	// process takes one by its id, and each part of the system a host of it.
+	firstNetwork = 80
+	networks     = 40
 )
 
 // site is the system under one trial.
@@ -54,7 +56,7 @@
 
 func (s *site) host() string {
 	s.hosts++
-	return fmt.Sprintf("%s.%d.%d", network, s.hosts/200, s.hosts%200+1)
+	return fmt.Sprintf("127.%d.%d.%d", firstNetwork+os.Getpid()%networks, s.hosts/200, s.hosts%200+1)
 }
 
 // newSite starts everything and puts the configuration in force.
--- a/route/choose.go
+++ b/route/choose.go
@@ -28,6 +28,7 @@
 const (
 	ByPrefix     Reason = "prefix"
 	ByLoad       Reason = "load"
+	ByHome       Reason = "home"
 	ByRotation   Reason = "rotation"
 	NoTarget     Reason = "no_target"
 	ByLeastCount Reason = "least_in_flight"
@@ -134,6 +135,9 @@
 		p.considerSample(f.remote, r, random, remotePenalty, consider)
 	}
 	p.considerHolders(f, r, consider)
+	if best.reason != ByPrefix {
+		p.considerHome(f, r, consider)
+	}
 	return best
 }
 
@@ -184,10 +188,42 @@
 	}
 }
 
-// isHot bounds affinity by the target's own slots, so that the check does not
-// walk the fleet: one hot prefix may fill a target hot times, not more.
+// considerHome adds the target that all instances agree on for a prefix that none
+// is known to hold, so that instances which do not see each other's dispatches
+// do not each fill a cache of their own with it. It is preferred by a little.
+func (p *affinity) considerHome(f *Fleet, r Request, consider considerFunc) {
+	if len(r.Pieces) == 0 || len(f.targets) == 0 {
+		return
+	}
+	t := f.targets[jumpHash(r.Pieces[0], len(f.targets))]
+	if usable(t, r) && !p.isHot(t) {
+		consider(t, 0, ByHome, -homeBonus)
+	}
+}
+
+// homeBonus, in seconds, is what a shared choice for an unknown prefix is worth.
+const homeBonus = 0.2
+
+// jumpHash spreads keys over buckets so that few keys move when their number
+// changes (Lamping and Veach, "A Fast, Minimal Memory, Consistent Hash
+// Algorithm", 2014).
+func jumpHash(key uint64, buckets int) int {
+	var b, j int64 = -1, 0
+	for j < int64(buckets) {
+		b = j
+		key = key*2862933555777941757 + 1
+		j = int64(float64(b+1) * (float64(int64(1)<<31) / float64((key>>33)+1)))
+	}
+	return int(b)
+}
+
+// isHot bounds affinity by the target's own slots and backlog, so that the check
+// does not walk the fleet: one hot prefix may fill a target hot times, not more.
 func (p *affinity) isHot(t *Target) bool {
-	return float64(t.Requests()) > p.hot*float64(t.slots)
+	if float64(t.Requests()) > p.hot*float64(t.slots) {
+		return true
+	}
+	return float64(t.waitingWork()) > p.hot*maxBacklog*t.PrefillRate()
 }
 
 // estimate returns the seconds to the first token: prompts that wait, this
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -40,6 +40,7 @@
 	prompt   int
 	pieces   []uint64
 	left     int
+	begun    bool
 	cached   int
 	position int
 	limit    int
@@ -84,8 +85,7 @@
 			return
 		}
 		b.waiting = b.waiting[1:]
-		q.cached = min(b.cache.longest(q.pieces)*pieceTokens, q.prompt-1)
-		q.left = q.prompt - q.cached
+		q.left = q.prompt
 		b.running = append(b.running, q)
 	}
 }
@@ -107,12 +107,7 @@
 			decode++
 			continue
 		}
-		part := min(q.left, b.chunk-prefill)
-		q.left -= part
-		prefill += part
-		if q.left == 0 && part > 0 {
-			b.cache.store(q.pieces)
-		}
+		prefill += b.prefill(q, b.chunk-prefill)
 	}
 	b.running = slices.DeleteFunc(b.running, func(q *sequence) bool {
 		if q.position < q.limit && !q.isCanceled() {
@@ -124,6 +119,24 @@
 	return prefill, decode
 }
 
+// prefill works on a prompt for at most budget tokens and returns how many it
+// took. The prefix cache is looked at when the prompt's turn comes, and holds
+// each piece as soon as it is computed.
+func (b *batch) prefill(q *sequence, budget int) int {
+	if budget <= 0 {
+		return 0
+	}
+	if !q.begun {
+		q.begun = true
+		q.cached = min(b.cache.longest(q.pieces)*pieceTokens, q.prompt-1)
+		q.left = q.prompt - q.cached
+	}
+	part := min(q.left, budget)
+	q.left -= part
+	b.cache.store(q.pieces[:min(len(q.pieces), (q.prompt-q.left)/pieceTokens)])
+	return part
+}
+
 func (b *batch) waitingTokens() int64 {
 	var sum int64
 	for _, q := range b.waiting {
