--- a/link/link.go
+++ b/link/link.go
@@ -43,23 +43,33 @@
 type Client struct {
 	key          string
 	certificates *certificate.Store
+	transport    *http.Transport
 	http         *http.Client
 
 	mutex sync.Mutex
 	peers map[string]peer.Peer
 }
 
+// A DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client whose connections come from the local IP number.
 // The certificates may be nil for plain TCP.
 func NewClient(local netip.Addr, key string, certificates *certificate.Store) *Client {
-	transport := &http.Transport{
-		DialContext: bind.Dialer(local).DialContext, MaxIdleConnsPerHost: idlePerPeer,
-		IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}
+	c := NewClientOver(bind.Dialer(local).DialContext, key)
 	if certificates != nil {
-		transport.TLSClientConfig = certificates.Client()
+		c.certificates = certificates
+		c.transport.TLSClientConfig = certificates.Client()
+	}
+	return c
+}
+
+// NewClientOver returns a client over the dial function, without TLS.
+func NewClientOver(dial DialFunc, key string) *Client {
+	transport := &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
-	return &Client{key: key, certificates: certificates, http: &http.Client{Transport: transport}, peers: map[string]peer.Peer{}}
+	return &Client{key: key, transport: transport, http: &http.Client{Transport: transport}, peers: map[string]peer.Peer{}}
 }
 
 // Peer returns the stub for the instance at the peer address.
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -9,15 +9,35 @@
 	"google.golang.org/protobuf/proto"
 
 	"auburnscale/control"
+	"auburnscale/member"
 	"auburnscale/peer"
 	"auburnscale/voter"
 )
 
-// peerServer answers the inner protocol.
+// peerServer answers the inner protocol. The voter and its table are nil on an
+// instance that is no voter.
 type peerServer struct {
-	process *Process
+	voter  *voter.Voter
+	table  *member.Table
+	holder holder
 }
 
+// holder keeps copies of other instances' usage counters.
+type holder interface {
+	Hold(counters []*peer.Counter)
+}
+
+// NewVoterServer returns the inner protocol's server of a voter that keeps no
+// copies of usage counters.
+func NewVoterServer(v *voter.Voter, table *member.Table) peer.Peer {
+	return &peerServer{voter: v, table: table, holder: noHolder{}}
+}
+
+type noHolder struct{}
+
+// Hold drops the counters.
+func (noHolder) Hold([]*peer.Counter) {}
+
 // maxTrailPage bounds one page of the audit trail.
 const maxTrailPage = 1000
 
@@ -25,16 +45,16 @@
 
 // Step takes quorum messages.
 func (s *peerServer) Step(_ context.Context, request *peer.StepRequest) (*peer.StepResponse, error) {
-	if s.process.voter == nil {
+	if s.voter == nil {
 		return nil, errNoVoter
 	}
-	s.process.voter.Receive(request.Messages)
+	s.voter.Receive(request.Messages)
 	return &peer.StepResponse{}, nil
 }
 
 // Propose commits a command if this voter leads.
 func (s *peerServer) Propose(ctx context.Context, request *peer.ProposeRequest) (*peer.ProposeResponse, error) {
-	v := s.process.voter
+	v := s.voter
 	if v == nil {
 		return nil, errNoVoter
 	}
@@ -50,31 +70,31 @@
 
 // Sync answers an instance's heartbeat.
 func (s *peerServer) Sync(ctx context.Context, request *peer.SyncRequest) (*peer.SyncResponse, error) {
-	if s.process.table == nil {
+	if s.table == nil {
 		return nil, errNoVoter
 	}
-	return s.process.table.Sync(ctx, request)
+	return s.table.Sync(ctx, request)
 }
 
 // Hold keeps a copy of another instance's usage counters.
 func (s *peerServer) Hold(_ context.Context, request *peer.HoldRequest) (*peer.HoldResponse, error) {
-	s.process.recorder.Hold(request.Counters)
+	s.holder.Hold(request.Counters)
 	return &peer.HoldResponse{}, nil
 }
 
 // Status returns this voter's view; it is the system's if this voter leads.
 func (s *peerServer) Status(_ context.Context, request *peer.StatusRequest) (*peer.StatusResponse, error) {
-	v := s.process.voter
+	v := s.voter
 	if v == nil {
 		return nil, errNoVoter
 	}
 	standing := v.Standing()
 	answer := &peer.StatusResponse{
 		Leading: v.MayAct(), Leader: standing.Leader(), Term: standing.Term(), Commit: standing.Commit(),
-		Voters: standing.Voters(), Members: s.process.table.Members(),
+		Voters: standing.Voters(), Members: s.table.Members(),
 	}
 	if request.Revision > 0 {
-		answer.MayServe = s.process.table.Fresh(request.Revision)
+		answer.MayServe = s.table.Fresh(request.Revision)
 	}
 	v.Read(func(m *control.Machine) { fillStatus(answer, m) })
 	return answer, nil
@@ -94,11 +114,11 @@
 
 // Trail returns a page of the audit trail.
 func (s *peerServer) Trail(_ context.Context, request *peer.TrailRequest) (*peer.TrailResponse, error) {
-	if s.process.voter == nil {
+	if s.voter == nil {
 		return nil, errNoVoter
 	}
 	answer := &peer.TrailResponse{}
-	s.process.voter.Read(func(m *control.Machine) {
+	s.voter.Read(func(m *control.Machine) {
 		answer.Entries = slices.Clone(m.Trail(request.After, min(maxTrailPage, int(request.Limit))))
 	})
 	return answer, nil
--- a/serve/process.go
+++ b/serve/process.go
@@ -66,6 +66,9 @@
 	logger      *event.Logger
 	incarnation string
 
+	peerKey      string
+	certificates *certificate.Store
+
 	dialer   *exchange.Dialer
 	client   *link.Client
 	inner    *link.Server
@@ -88,13 +91,16 @@
 // New builds the parts and opens the listeners towards callers and instances.
 func New(s settings.Settings, logger *event.Logger) (*Process, error) {
 	p := &Process{settings: s, logger: logger, incarnation: newIncarnation(), failed: make(chan error, 4), replaced: make(chan struct{})}
-	if err := p.buildInner(); err != nil {
+	if err := p.buildLinks(); err != nil {
 		return nil, err
 	}
 	if err := p.buildControl(); err != nil {
 		return nil, err
 	}
 	p.buildMember()
+	if err := p.listenInner(); err != nil {
+		return nil, err
+	}
 	if err := p.buildCallers(); err != nil {
 		return nil, err
 	}
@@ -117,25 +123,31 @@
 	return strings.TrimSpace(string(data)), nil
 }
 
-func (p *Process) buildInner() error {
+// buildLinks prepares the outgoing sides, which come from the peer address.
+func (p *Process) buildLinks() error {
 	local, err := netip.ParseAddrPort(p.settings.Listen.Peer)
 	if err != nil {
 		return fmt.Errorf("listen.peer: %w", err)
 	}
-	key, err := readKey(p.settings.Peer.KeyFile)
+	p.peerKey, err = readKey(p.settings.Peer.KeyFile)
 	if err != nil {
 		return err
 	}
-	var certificates *certificate.Store
 	if file := p.settings.Peer.CertificateFile; file != "" {
-		certificates, err = certificate.New(file, p.settings.Peer.PrivateKeyFile, p.settings.Peer.AuthorityFile)
+		p.certificates, err = certificate.New(file, p.settings.Peer.PrivateKeyFile, p.settings.Peer.AuthorityFile)
 		if err != nil {
 			return err
 		}
 	}
 	p.dialer = exchange.NewDialer(local.Addr())
-	p.client = link.NewClient(local.Addr(), key, certificates)
-	p.inner, err = link.Listen(p.settings.Listen.Peer, link.Handler(key, &peerServer{process: p}), certificates)
+	p.client = link.NewClient(local.Addr(), p.peerKey, p.certificates)
+	return nil
+}
+
+func (p *Process) listenInner() error {
+	server := &peerServer{voter: p.voter, table: p.table, holder: p.recorder}
+	var err error
+	p.inner, err = link.Listen(p.settings.Listen.Peer, link.Handler(p.peerKey, server), p.certificates)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -137,17 +137,27 @@
 	return part
 }
 
+// waitingTokens sums the prompt tokens that are still to be computed, without
+// what the cache holds of them now.
 func (b *batch) waitingTokens() int64 {
 	var sum int64
 	for _, q := range b.waiting {
-		sum += int64(q.prompt)
+		sum += int64(b.uncached(q))
 	}
 	for _, q := range b.running {
-		sum += int64(q.left)
+		if q.begun {
+			sum += int64(q.left)
+		} else {
+			sum += int64(b.uncached(q))
+		}
 	}
 	return sum
 }
 
+func (b *batch) uncached(q *sequence) int {
+	return max(1, q.prompt-b.cache.peek(q.pieces)*pieceTokens)
+}
+
 // cacheChange is what a cache event reports.
 type cacheChange struct {
 	at     time.Time
@@ -183,6 +193,16 @@
 	return len(pieces)
 }
 
+// peek returns the length of the longest cached prefix without using it.
+func (c *prefixCache) peek(pieces []uint64) int {
+	for i, p := range pieces {
+		if _, ok := c.used[p]; !ok {
+			return i
+		}
+	}
+	return len(pieces)
+}
+
 func (c *prefixCache) store(pieces []uint64) {
 	c.clock++
 	var added []uint64
