--- a/certificate/certificate.go
+++ b/certificate/certificate.go
@@ -12,6 +12,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"os"
 	"sync"
@@ -72,10 +73,33 @@
 	}
 }
 
-// Client returns the configuration for one outgoing connection.
+// Client returns the configuration of outgoing connections. Each connection uses
+// what the files hold when it is opened, so the other side is verified here and
+// not by the fixed authorities that crypto/tls would take.
 func (s *Store) Client() *tls.Config {
-	certificate, authorities := s.current()
-	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*certificate}, RootCAs: authorities}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			certificate, _ := s.current()
+			return certificate, nil
+		},
+		InsecureSkipVerify: true,
+		VerifyConnection:   s.verify,
+	}
+}
+
+// verify checks the other side's chain and that it is for the dialled address.
+func (s *Store) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("the other side shows no certificate")
+	}
+	_, authorities := s.current()
+	options := x509.VerifyOptions{Roots: authorities, DNSName: state.ServerName, Intermediates: x509.NewCertPool()}
+	for _, c := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(c)
+	}
+	_, err := state.PeerCertificates[0].Verify(options)
+	return err
 }
 
 // current returns what the files hold. Files that cannot be read any more leave
