Let workspaces below their fair share use a reserve, and count other instances' additions

Cause: with one workspace at ten times its share, the others' requests were refused too: instances filled the slots from reports up to 0.8 s old, and a request at the head of the fair queue still waited for a slot. Change: what this instance adds between two reports is extrapolated to all instances; a request spends at most half of its time in the queue; a workspace below 0.8 of its fair share goes on into a reserve beyond the slots, where the engines run it first by its priority.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -26,6 +26,9 @@
 // many they run at once.
 type Room interface {
 	HasRoom() bool
+	// HasReserve reports whether a target takes a request beyond its slots,
+	// which it will run before others by its priority.
+	HasReserve() bool
 	Capacity() (slots, requests int64)
 }
 
@@ -72,6 +75,8 @@
 	smoothing = 0.1
 	// firstServiceTime stands for a request's time until a pace is known.
 	firstServiceTime = time.Second
+	// queueShare is the part of a request's time that it may spend waiting here.
+	queueShare = 0.5
 	// minWait is the wait that every request is granted.
 	minWait = 50 * time.Millisecond
 	// minRetry is the shortest time after which a caller is told to come back.
@@ -81,6 +86,9 @@
 	priorityLevels = 8
 	// activeWork is the recent work, in tokens, above which a workspace counts.
 	activeWork = 1.0
+	// reserveBelow is the part of its fair share below which a workspace may
+	// use the targets' reserve.
+	reserveBelow = 0.8
 	// sumInterval bounds the age of the sums over all workspaces.
 	sumInterval = 100 * time.Millisecond
 	// usageHalfLife is how fast past use is forgotten for priorities.
@@ -170,9 +178,10 @@
 	}
 }
 
-// longest returns the wait that still leaves the request its time.
+// longest returns the wait that still leaves the request its time. Half of it is
+// kept for what the queue does not see: the target's own queue and steps.
 func (q *Queue) longest(r Request) time.Duration {
-	return max(minWait, q.config.MaxWait-r.Lead)
+	return max(minWait, time.Duration(queueShare*float64(q.config.MaxWait-r.Lead)))
 }
 
 // giveUp takes a waiting request out of the queue. The refusal says when the
@@ -193,7 +202,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	s := q.space(r, now)
-	if len(q.waiting) == 0 && q.room.HasRoom() {
+	if len(q.waiting) == 0 && q.room.HasRoom() || q.mayUseReserve(s, now) {
 		return q.admitNow(q.ticket(s, r, now)), nil
 	}
 	t := q.ticket(s, r, now)
@@ -330,6 +339,22 @@
 	return min(priorityLevels-1, int(math.Ceil(math.Log2(s.used/fair)*2)))
 }
 
+// mayUseReserve reports whether the workspace has had so much less than its fair
+// share that its request goes on although the targets' slots are taken. The
+// targets run it first, so other workspaces wait for it and not it for them,
+// also on instances that do not see its queue.
+func (q *Queue) mayUseReserve(s *space, now time.Time) bool {
+	if !q.config.Fair {
+		return false
+	}
+	if now.Sub(q.summed) > sumInterval {
+		q.sum(now)
+	}
+	s.decay(now)
+	fair := q.total * s.weight / max(q.weights, s.weight)
+	return q.weights > s.weight && s.used < reserveBelow*fair && q.room.HasReserve()
+}
+
 // sum adds up the workspaces' recent work anew. In between the sums are kept up
 // to date but for the decay, which the interval bounds.
 func (q *Queue) sum(now time.Time) {
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -29,6 +29,8 @@
 	return true
 }
 
+func (r *room) HasReserve() bool { return false }
+
 func (r *room) Capacity() (slots, requests int64) { return 1 << 40, 0 }
 
 func request(workspace string, weight, work float64) Request {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -35,6 +35,9 @@
 	GoodTokens float64 `json:"good_tokens_per_second"`
 	// Worst is the lowest goodput of a workspace.
 	Worst float64 `json:"worst_workspace"`
+	// FairShare is the lowest part that a workspace got of its fair share: the
+	// good answers of all, filled up evenly to what each asked for.
+	FairShare float64 `json:"worst_of_fair_share"`
 	// CacheHits is the share of prompt pieces found in a prefix cache.
 	CacheHits float64 `json:"cache_hits"`
 	// Busiest is the busiest engine's requests over the mean.
@@ -119,6 +122,7 @@
 			f.Worst = min(f.Worst, share(w.Good, w.Sent))
 		}
 	}
+	f.FairShare = worstOfFairShare(r)
 	var hits, asked, most, total int64
 	for _, e := range s.all {
 		found, looked := e.CacheUse()
@@ -135,6 +139,22 @@
 	return f
 }
 
+// worstOfFairShare divides the good answers max-min fairly over the workspaces
+// and returns the lowest ratio of what a workspace got to its part.
+func worstOfFairShare(r *load.Result) float64 {
+	asked := slices.Clone(r.Workspaces)
+	slices.SortFunc(asked, func(a, b load.WorkspaceResult) int { return a.Sent - b.Sent })
+	left, worst := float64(r.Good), 1.0
+	for i, w := range asked {
+		part := min(float64(w.Sent), left/float64(len(asked)-i))
+		left -= part
+		if part > 0 {
+			worst = min(worst, float64(w.Good)/part)
+		}
+	}
+	return worst
+}
+
 func share(part, whole int) float64 {
 	if whole == 0 {
 		return 0
@@ -155,7 +175,7 @@
 	}
 	return Median{Variant: variant, Figures: Figures{
 		Goodput: of(func(f Figures) float64 { return f.Goodput }), GoodTokens: of(func(f Figures) float64 { return f.GoodTokens }),
-		Worst: of(func(f Figures) float64 { return f.Worst }), CacheHits: of(func(f Figures) float64 { return f.CacheHits }),
+		Worst: of(func(f Figures) float64 { return f.Worst }), FairShare: of(func(f Figures) float64 { return f.FairShare }), CacheHits: of(func(f Figures) float64 { return f.CacheHits }),
 		Busiest: of(func(f Figures) float64 { return f.Busiest }), Arrivals: of(func(f Figures) float64 { return f.Arrivals }),
 		Wrong: of(func(f Figures) float64 { return f.Wrong }), FirstP95: of(func(f Figures) float64 { return f.FirstP95 }),
 		GapP95: of(func(f Figures) float64 { return f.GapP95 }),
@@ -166,11 +186,11 @@
 func (r *Report) Print(out io.Writer) {
 	fmt.Fprintf(out, "%s: %s\n", r.Scenario, r.About)
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "variant\tgoodput\tgood tokens/s\tworst workspace\tcache hits\tbusiest/mean\twrong\tfirst p95 ms\tgap p95 ms")
+	fmt.Fprintln(table, "variant\tgoodput\tgood tokens/s\tworst workspace\tworst of fair share\tcache hits\tbusiest/mean\twrong\tfirst p95 ms\tgap p95 ms")
 	for _, m := range r.Medians {
 		f := m.Figures
-		fmt.Fprintf(table, "%s\t%.3f\t%.0f\t%.3f\t%.3f\t%.2f\t%.0f\t%.0f\t%.0f\n",
-			m.Variant, f.Goodput, f.GoodTokens, f.Worst, f.CacheHits, f.Busiest, f.Wrong, f.FirstP95, f.GapP95)
+		fmt.Fprintf(table, "%s\t%.3f\t%.0f\t%.3f\t%.3f\t%.3f\t%.2f\t%.0f\t%.0f\t%.0f\n",
+			m.Variant, f.Goodput, f.GoodTokens, f.Worst, f.FairShare, f.CacheHits, f.Busiest, f.Wrong, f.FirstP95, f.GapP95)
 	}
 	_ = table.Flush()
 }
--- a/experiment/site.go
+++ b/experiment/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -27,10 +28,11 @@
 	peerPort    = 7101
 	toolPort    = 7201
 	enginePort  = 8000
-	// firstNetwork and networks are the loopback networks of experiments; each
-	// process takes one by its id, and each part of the system a host of it.
+	// firstNetwork and networks are the loopback networks of experiments. A site
+	// takes the first free one, and each part of the system a host of it.
 	firstNetwork = 80
 	networks     = 40
+	lockPort     = 6999
 )
 
 // site is the system under one trial.
@@ -38,6 +40,8 @@
 	scenario *Scenario
 	folder   string
 	hosts    int
+	network  int
+	lock     net.Listener
 	engines  map[string][]*standin.Engine
 	all      []*standin.Engine
 	nodes    []*node
@@ -56,7 +60,21 @@
 
 func (s *site) host() string {
 	s.hosts++
-	return fmt.Sprintf("127.%d.%d.%d", firstNetwork+os.Getpid()%networks, s.hosts/200, s.hosts%200+1)
+	return fmt.Sprintf("127.%d.%d.%d", s.network, s.hosts/200, s.hosts%200+1)
+}
+
+// takeNetwork keeps other processes off a network by listening on its first
+// host.
+func (s *site) takeNetwork() error {
+	for i := range networks {
+		network := firstNetwork + (os.Getpid()+i)%networks
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", network, lockPort))
+		if err == nil {
+			s.network, s.lock = network, lock
+			return nil
+		}
+	}
+	return errors.New("no loopback network is free")
 }
 
 // newSite starts everything and puts the configuration in force.
@@ -66,7 +84,7 @@
 		return nil, err
 	}
 	s := &site{scenario: scenario, folder: folder, engines: map[string][]*standin.Engine{}}
-	if err := s.start(ctx, variant, seed); err != nil {
+	if err := errors.Join(s.takeNetwork(), s.start(ctx, variant, seed)); err != nil {
 		s.close()
 		return nil, err
 	}
@@ -242,5 +260,8 @@
 	for _, e := range s.all {
 		e.Kill()
 	}
+	if s.lock != nil {
+		s.lock.Close()
+	}
 	os.RemoveAll(s.folder)
 }
--- a/route/target.go
+++ b/route/target.go
@@ -31,6 +31,8 @@
 	inFlight atomic.Int64
 	work     atomic.Int64
 	report   atomic.Pointer[Report]
+	// sharers is the number of instances that send to the target.
+	sharers atomic.Int64
 }
 
 // A Report represents a target's own account of its load, with what this
@@ -116,6 +118,10 @@
 	})
 }
 
+// SetSharers sets how many instances send to the target. Between two reports
+// each of them is reckoned to add as much as this one.
+func (t *Target) SetSharers(n int) { t.sharers.Store(int64(n)) }
+
 // Requests estimates all requests on the target, of every instance: the report,
 // corrected by what this instance began and ended since.
 func (t *Target) Requests() int64 {
@@ -124,7 +130,17 @@
 	if r == nil {
 		return own
 	}
-	return max(own, int64(r.running+r.waiting)+own-r.ownInFlight)
+	return max(own, int64(r.running+r.waiting)+t.shared(own-r.ownInFlight))
+}
+
+// shared extrapolates what this instance added since the report to all sharers.
+// What it took away is not extrapolated: a target thought too idle costs more
+// than one thought too busy.
+func (t *Target) shared(change int64) int64 {
+	if change <= 0 {
+		return change
+	}
+	return change * max(1, t.sharers.Load())
 }
 
 // waitingWork estimates the prompt tokens that wait on the target.
@@ -133,7 +149,7 @@
 	if r == nil {
 		return t.work.Load()
 	}
-	return max(0, r.waitingWork+t.work.Load()-r.ownWork)
+	return max(0, r.waitingWork+t.shared(t.work.Load()-r.ownWork))
 }
 
 const (
@@ -178,6 +194,16 @@
 	return float64(t.waitingWork()) < maxBacklog*t.PrefillRate()
 }
 
+// reserve is the part of the slots that workspaces below their fair share may
+// fill beyond them.
+const reserve = 0.5
+
+// HasReserve reports whether the target takes a request that it will run before
+// those that wait.
+func (t *Target) HasReserve() bool {
+	return !t.Away() && float64(t.Requests()) < (1+reserve)*float64(t.slots)
+}
+
 // A Fleet represents the usable targets of one service. It is immutable but for
 // the targets' counters.
 type Fleet struct {
@@ -216,6 +242,16 @@
 	return false
 }
 
+// HasReserve reports whether any target has.
+func (f *Fleet) HasReserve() bool {
+	for _, t := range f.targets {
+		if t.HasReserve() {
+			return true
+		}
+	}
+	return false
+}
+
 // Capacity sums the fleet's slots and the estimated requests on it.
 func (f *Fleet) Capacity() (slots, requests int64) {
 	for _, t := range f.targets {
--- a/target/book.go
+++ b/target/book.go
@@ -200,6 +200,7 @@
 		total++
 		p := b.probes[t.Name]
 		p.service.Store(service)
+		p.target.SetSharers(view.Instances())
 		if p.isUp() && !view.Draining(t) && !service.breaker.Ejected(t.Name, now) {
 			usable = append(usable, p.target)
 		}
@@ -310,6 +311,9 @@
 // HasRoom reports whether a usable target is estimated to have a free slot.
 func (s *Service) HasRoom() bool { return s.fleet.Load().HasRoom() }
 
+// HasReserve reports whether a usable target takes a request beyond its slots.
+func (s *Service) HasReserve() bool { return s.fleet.Load().HasReserve() }
+
 // Capacity returns the slots and the estimated requests of the usable targets.
 func (s *Service) Capacity() (slots, requests int64) { return s.fleet.Load().Capacity() }
 
