--- a/command/check.go
+++ b/command/check.go
@@ -38,9 +38,11 @@
 }
 
 func checkConfiguration(inventoryFile, rulesFile string, list *finding.List) {
-	inventoryTOML := readInto(inventoryFile, "inventory", list)
-	rulesTOML := readInto(rulesFile, "rules", list)
-	if list.Len() > 0 {
+	unread := &finding.List{}
+	inventoryTOML := readInto(inventoryFile, "inventory", unread)
+	rulesTOML := readInto(rulesFile, "rules", unread)
+	list.Merge(unread)
+	if unread.Len() > 0 {
 		return
 	}
 	_, findings := inventory.Parse(1, inventoryTOML, rulesTOML)
--- a/measure/relay.sh
+++ b/measure/relay.sh
@@ -76,3 +76,17 @@
     awk -v t=$(($(ticks) - before)) -v hz="$per_second" -v rate="$rate" -v tokens="$tokens" -v sent="$sent" -v mb="$(resident)" \
         'BEGIN { printf "%-11d %-17d %-11.3f %-9.0f %.0f\n", rate, tokens, t / hz / 10, sent / 10, mb }'
 done
+
+echo
+echo "targets  core share at rest"
+version=1
+for targets in 4 16 64 128; do
+    version=$((version + 1))
+    cp "$run/inventory.toml" "$run/more.toml"
+    for n in $(seq 5 $targets); do printf '[[targets]]\nname = "t%d"\nservice = "s"\nfailure_domain = "d"\naddress = "127.0.0.%d:8000"\n' "$n" $((62 + n % 4)); done >>"$run/more.toml"
+    ./bin/auburnscale apply --version $version --inventory "$run/more.toml" --rules "$run/rules.toml" --operator 127.0.0.61:7201 --operator-key-file "$run/key" >/dev/null
+    sleep 2
+    before=$(ticks)
+    sleep 10
+    awk -v t=$(($(ticks) - before)) -v hz="$per_second" -v n=$targets 'BEGIN { printf "%-8d %.3f\n", n, t / hz / 10 }'
+done
--- a/member/view.go
+++ b/member/view.go
@@ -76,6 +76,9 @@
 // SettledWindow returns the last closed usage window.
 func (v *View) SettledWindow() int64 { return v.settledWindow }
 
+// Term returns the highest term of a control leader that this instance heard.
+func (v *View) Term() uint64 { return v.term }
+
 // Instances returns the number of living instances of the whole system, at
 // least 1.
 func (v *View) Instances() int { return max(1, v.instances) }
--- a/serve/failure_test.go
+++ b/serve/failure_test.go
@@ -229,6 +229,21 @@
 	require.Empty(t, s.platform.Record().Breaches)
 }
 
+// TestUsageSurvivesALeader kills the control leader between the answers and the
+// close of their window: its successor has to hear of all counters again.
+func TestUsageSurvivesALeader(t *testing.T) {
+	s := newSite(t, engines(2, standin.Faults{}), nil)
+	s.start()
+	sent := 0
+	for i := range 6 {
+		require.Equal(t, 200, s.chat("b2", venueKey, fmt.Sprint("lots ", i), 5).status)
+		sent += 5
+	}
+	s.kill(s.leader())
+	s.await("the figures", func() bool { return s.reported(`"workspace":"venue"`) == sent })
+	require.Empty(t, s.platform.Record().Breaches)
+}
+
 // reported sums the output tokens that the platform was told of.
 func (s *site) reported(workspace string) int {
 	sum := 0
--- a/usage/recorder.go
+++ b/usage/recorder.go
@@ -78,6 +78,10 @@
 	mutex sync.Mutex
 	own   map[key]*peer.Counter
 	held  map[key]*peer.Counter
+	// taken holds, per counter, the requests that the leader of takenTerm has
+	// heard of. Another leader has heard of none.
+	taken     map[key]int64
+	takenTerm uint64
 
 	stop     chan struct{}
 	done     chan struct{}
@@ -88,7 +92,7 @@
 func New(source, self string, window time.Duration, dialer Dialer, logger *event.Logger) *Recorder {
 	return &Recorder{
 		source: source, self: self, window: window, dialer: dialer, logger: logger,
-		records: make(chan record, recordQueue), own: map[key]*peer.Counter{}, held: map[key]*peer.Counter{},
+		records: make(chan record, recordQueue), own: map[key]*peer.Counter{}, held: map[key]*peer.Counter{}, taken: map[key]int64{},
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
 }
@@ -249,8 +253,10 @@
 	}
 }
 
-// Unsettled returns this incarnation's counters that the control group has not
-// settled, and those held for incarnations that are not alive any more.
+// Unsettled returns the counters that the control leader needs: of this
+// incarnation, and those held for incarnations that are not alive any more. A
+// counter of an open window is left out if the leader has heard of it as it is;
+// one of a closed window is sent until the committed figures include it.
 func (r *Recorder) Unsettled(view *member.View) []*peer.Counter {
 	alive := map[string]bool{}
 	for _, m := range view.Members() {
@@ -259,34 +265,50 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var list []*peer.Counter
-	for _, c := range r.own {
-		list = append(list, c)
+	for k, c := range r.own {
+		if r.needed(k, c, view) {
+			list = append(list, c)
+		}
 	}
 	for k, c := range r.held {
-		if !alive[k.source] {
+		if !alive[k.source] && r.needed(k, c, view) {
 			list = append(list, c)
 		}
 	}
 	return list
 }
 
-// Settled forgets the counters of closed windows that the committed figures
-// include. A counter of a window that is still open stays, since it may grow.
-func (r *Recorder) Settled(counters []*peer.Counter, settled []bool) {
+func (r *Recorder) needed(k key, c *peer.Counter, view *member.View) bool {
+	return k.window <= view.SettledWindow() || r.takenTerm != view.Term() || r.taken[k] < c.Requests
+}
+
+// Settled notes what the leader of the term has heard, and forgets the counters
+// of closed windows that the committed figures include. A counter of a window
+// that is still open stays, since it may grow.
+func (r *Recorder) Settled(counters []*peer.Counter, settled []bool, term uint64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if term != r.takenTerm {
+		r.takenTerm = term
+		r.taken = map[key]int64{}
+	}
 	closed := r.views.View().SettledWindow()
 	for i, c := range counters {
-		if i >= len(settled) || !settled[i] || c.Window > closed {
-			continue
-		}
 		k := key{c.Source, c.Window, c.Workspace}
-		dropIf(r.own, k, c)
-		dropIf(r.held, k, c)
+		r.taken[k] = max(r.taken[k], c.Requests)
+		if i < len(settled) && settled[i] && c.Window <= closed {
+			r.forget(k, c)
+		}
 	}
 	r.dropOldCopies(closed)
 }
 
+func (r *Recorder) forget(k key, c *peer.Counter) {
+	dropIf(r.own, k, c)
+	dropIf(r.held, k, c)
+	delete(r.taken, k)
+}
+
 func dropIf(counters map[key]*peer.Counter, k key, c *peer.Counter) {
 	if known := counters[k]; known != nil && known.Requests <= c.Requests {
 		delete(counters, k)
