Split admission by concern, share the load report and the drawn seed

Cause: admit.go had grown to 433 lines with three concerns; the stand-in repeated the engine's report field by field; three test packages repeated their seeding. Change: prediction, priority and heap in files of their own; the stand-in's report embeds the protocol's; package drawn fixes the seed. Conclusion: no behaviour changed.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -16,7 +16,6 @@
 import (
 	"container/heap"
 	"context"
-	"fmt"
 	"math"
 	"sync"
 	"time"
@@ -178,12 +177,6 @@
 	}
 }
 
-// longest returns the wait that still leaves the request its time. Half of it is
-// kept for what the queue does not see: the target's own queue and steps.
-func (q *Queue) longest(r Request) time.Duration {
-	return max(minWait, time.Duration(queueShare*float64(q.config.MaxWait-r.Lead)))
-}
-
 // giveUp takes a waiting request out of the queue. The refusal says when the
 // queue, as long as it is, will have passed.
 func (q *Queue) giveUp(t *Ticket, reason string) error {
@@ -245,47 +238,6 @@
 	return t
 }
 
-// predict refuses a request that cannot start within the limit, judged by the
-// requests ahead of it and the pace at which waiting ones were admitted lately.
-func (q *Queue) predict(t *Ticket, limit time.Duration) error {
-	if len(q.waiting) >= q.config.MaxQueue {
-		return &Refusal{reason: fmt.Sprintf("%d requests wait already", len(q.waiting)), retryAfter: q.wait(len(q.waiting))}
-	}
-	ahead := 0
-	for _, w := range q.waiting {
-		if w.before(t) {
-			ahead++
-		}
-	}
-	wait := q.wait(ahead + 1)
-	if wait > limit {
-		return &Refusal{reason: fmt.Sprintf("the request would wait %v for a target", wait.Round(time.Millisecond)), retryAfter: max(minRetry, wait)}
-	}
-	return nil
-}
-
-// wait predicts the time until so many waiting requests have been admitted.
-func (q *Queue) wait(ahead int) time.Duration {
-	if q.pace > 0 {
-		return time.Duration(float64(q.pace) * float64(ahead))
-	}
-	return time.Duration(float64(firstServiceTime) * float64(ahead) / float64(max(1, q.running)))
-}
-
-// notePace learns the time between two admissions while requests wait.
-func (q *Queue) notePace(now time.Time) {
-	since := now.Sub(q.lastAdmission)
-	q.lastAdmission = now
-	if q.queuedSince.IsZero() || now.Sub(q.queuedSince) < since {
-		return
-	}
-	if q.pace == 0 {
-		q.pace = since
-		return
-	}
-	q.pace = time.Duration((1-smoothing)*float64(q.pace) + smoothing*float64(since))
-}
-
 // Pump admits waiting requests while there is room. It is called when a request
 // ends and when a target reports.
 func (q *Queue) Pump() {
@@ -319,64 +271,6 @@
 	close(t.admitted)
 }
 
-// priority grows with how far the workspace is above its fair share of recent
-// work. Engines run low numbers first, so that fairness holds between instances
-// that do not see each other's queues.
-func (q *Queue) priority(s *space, work float64, now time.Time) int {
-	if now.Sub(q.summed) > sumInterval {
-		q.sum(now)
-	}
-	s.decay(now)
-	if s.used <= activeWork {
-		q.weights += s.weight
-	}
-	s.used += work
-	q.total += work
-	fair := q.total * s.weight / max(q.weights, s.weight)
-	if fair <= 0 || s.used <= fair {
-		return 0
-	}
-	return min(priorityLevels-1, int(math.Ceil(math.Log2(s.used/fair)*2)))
-}
-
-// mayUseReserve reports whether the workspace has had so much less than its fair
-// share that its request goes on although the targets' slots are taken. The
-// targets run it first, so other workspaces wait for it and not it for them,
-// also on instances that do not see its queue.
-func (q *Queue) mayUseReserve(s *space, now time.Time) bool {
-	if !q.config.Fair {
-		return false
-	}
-	if now.Sub(q.summed) > sumInterval {
-		q.sum(now)
-	}
-	s.decay(now)
-	fair := q.total * s.weight / max(q.weights, s.weight)
-	return q.weights > s.weight && s.used < reserveBelow*fair && q.room.HasReserve()
-}
-
-// sum adds up the workspaces' recent work anew. In between the sums are kept up
-// to date but for the decay, which the interval bounds.
-func (q *Queue) sum(now time.Time) {
-	q.summed, q.total, q.weights = now, 0, 0
-	for _, s := range q.spaces {
-		s.decay(now)
-		if s.used > activeWork {
-			q.total += s.used
-			q.weights += s.weight
-		}
-	}
-}
-
-func (s *space) decay(now time.Time) {
-	elapsed := now.Sub(s.at)
-	if elapsed <= 0 {
-		return
-	}
-	s.used *= math.Exp2(-float64(elapsed) / float64(usageHalfLife))
-	s.at = now
-}
-
 // Priority returns the engine priority, 0 first.
 func (t *Ticket) Priority() int { return t.priority }
 
@@ -400,34 +294,3 @@
 	defer q.mutex.Unlock()
 	return len(q.waiting)
 }
-
-func (t *Ticket) before(other *Ticket) bool {
-	if t.start != other.start {
-		return t.start < other.start
-	}
-	return t.sequence < other.sequence
-}
-
-type waitHeap []*Ticket
-
-func (h waitHeap) Len() int           { return len(h) }
-func (h waitHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h waitHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push adds a ticket, for container/heap.
-func (h *waitHeap) Push(x any) {
-	t := x.(*Ticket)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-
-// Pop removes the last ticket, for container/heap.
-func (h *waitHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return t
-}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,9 +1,7 @@
 package control
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,17 +9,11 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"auburnscale/drawn"
 	"auburnscale/peer"
 )
 
-// TestMain fixes the seed of drawn tests; -rapid.seed draws others.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { drawn.Main(m) }
 
 // A feed applies commands with growing indexes.
 type feed struct {
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -14,18 +12,11 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"auburnscale/drawn"
 	"auburnscale/peer"
 )
 
-// TestMain fixes the seed of drawn tests, so that each run gives the same
-// verdict; -rapid.seed and -rapid.checks draw others and more.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { drawn.Main(m) }
 
 // A cluster runs nodes on one virtual clock, with a network that loses, repeats
 // and delays messages, and disks that keep what was stored before a crash.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"auburnscale/engine"
 )
 
 // Faults are the ways in which an engine can misbehave. Zero values misbehave in
@@ -208,23 +210,11 @@
 	}
 }
 
-// engineLoad is the engine's load report.
+// engineLoad is the engine's load report, with the use of its prefix cache.
 type engineLoad struct {
-	Name          string  `json:"name"`
-	Incarnation   string  `json:"incarnation"`
-	Role          string  `json:"role"`
-	Running       int     `json:"running"`
-	Waiting       int     `json:"waiting"`
-	WaitingTokens int64   `json:"waiting_tokens"`
-	Slots         int     `json:"slots"`
-	PrefillRate   float64 `json:"prefill_rate"`
-	DecodeRate    float64 `json:"decode_rate"`
-	PrefillShare  float64 `json:"prefill_share"`
-	AwayMs        int64   `json:"away_ms"`
-	LastOrder     string  `json:"last_order"`
-	Epoch         uint64  `json:"epoch"`
-	CacheHits     int64   `json:"cache_hits"`
-	CacheAsked    int64   `json:"cache_asked"`
+	engine.Load
+	CacheHits  int64 `json:"cache_hits"`
+	CacheAsked int64 `json:"cache_asked"`
 }
 
 // load returns the report that is as old as the fault makes it.
@@ -243,13 +233,13 @@
 	slow := e.config.Faults.Slow
 	stepTime := t.Step + time.Duration(e.config.Slots)*t.DecodeStream
 	away := max(0, e.awayUntil.Sub(now))
-	return engineLoad{
+	load := engine.Load{
 		Name: e.config.Name, Incarnation: e.incarnation, Role: e.role, Running: len(e.batch.running),
 		Waiting: len(e.batch.waiting), WaitingTokens: e.batch.waitingTokens(), Slots: e.config.Slots,
 		PrefillRate: 1 / t.PrefillToken.Seconds() / slow, DecodeRate: 1 / stepTime.Seconds() / slow,
 		PrefillShare: e.share, AwayMs: away.Milliseconds(), LastOrder: e.lastOrder, Epoch: e.epoch,
-		CacheHits: e.batch.cache.hits, CacheAsked: e.batch.cache.asked,
 	}
+	return engineLoad{Load: load, CacheHits: e.batch.cache.hits, CacheAsked: e.batch.cache.asked}
 }
 
 type cacheEvent struct {
--- a/standin/service.go
+++ b/standin/service.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"auburnscale/engine"
 )
 
 // ServiceFaults are the ways in which a plain service can misbehave.
@@ -93,10 +95,10 @@
 	s.running--
 }
 
-func (s *Service) load() engineLoad {
+func (s *Service) load() engine.Load {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return engineLoad{Name: s.config.Name, Incarnation: s.incarnation, Role: "plain", Running: s.running}
+	return engine.Load{Name: s.config.Name, Incarnation: s.incarnation, Role: "plain", Running: s.running}
 }
 
 func (s *Service) call(ctx *fasthttp.RequestCtx) {
