Pause the leader in the quickstart; show the asked instance's own version

Cause: a leader that is stopped and woken was shown with fakes only. Change: a row stops the control leader (SIGSTOP), changes the configuration, wakes it, and asks it for its own version and for the stored confirmation. Conclusion: the woken leader follows and acts on nothing.

--- a/operator/api.go
+++ b/operator/api.go
@@ -89,21 +89,23 @@
 // A Status is the control leader's view of the system, with the asked
 // instance's view of the targets.
 type Status struct {
-	Asked     string          `json:"asked"`
-	Fresh     bool            `json:"fresh"`
-	Leader    uint64          `json:"leader"`
-	Term      uint64          `json:"term"`
-	Commit    uint64          `json:"commit"`
-	Version   uint64          `json:"version"`
-	Revision  uint64          `json:"revision"`
-	Voters    []uint64        `json:"voters"`
-	Learners  []uint64        `json:"learners"`
-	Members   []MemberStatus  `json:"members"`
-	Targets   []target.Status `json:"targets"`
-	Intents   []IntentStatus  `json:"open_intents"`
-	Drains    []string        `json:"drains"`
-	Withdrawn []string        `json:"withdrawn_keys"`
-	Settled   int64           `json:"settled_window_ms"`
+	Asked string `json:"asked"`
+	// AskedVersion is the configuration that the asked instance decides by.
+	AskedVersion uint64          `json:"asked_version"`
+	Fresh        bool            `json:"fresh"`
+	Leader       uint64          `json:"leader"`
+	Term         uint64          `json:"term"`
+	Commit       uint64          `json:"commit"`
+	Version      uint64          `json:"version"`
+	Revision     uint64          `json:"revision"`
+	Voters       []uint64        `json:"voters"`
+	Learners     []uint64        `json:"learners"`
+	Members      []MemberStatus  `json:"members"`
+	Targets      []target.Status `json:"targets"`
+	Intents      []IntentStatus  `json:"open_intents"`
+	Drains       []string        `json:"drains"`
+	Withdrawn    []string        `json:"withdrawn_keys"`
+	Settled      int64           `json:"settled_window_ms"`
 }
 
 // A MemberStatus is what the control leader knows of an instance.
--- a/operator/server.go
+++ b/operator/server.go
@@ -272,7 +272,7 @@
 
 func (s *Server) status(ctx context.Context) (*Status, error) {
 	answer := &Status{
-		Asked: s.config.Instance, Fresh: s.local.Fresh(), Targets: s.targets.Status(),
+		Asked: s.config.Instance, AskedVersion: s.local.View().Version(), Fresh: s.local.Fresh(), Targets: s.targets.Status(),
 		Version: s.local.View().Version(), Revision: s.local.View().Revision(),
 	}
 	slices.SortFunc(answer.Targets, func(a, b target.Status) int { return compareNames(a.Name, b.Name) })
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -39,7 +39,7 @@
     fi
     end=$(date +%s%N)
     printf '%-74s %-7s %6d ms\n' "$text" "$result" $(((end - begin) / 1000000))
-    [ $result = FAILED ] && sed 's/^/    /' "$run/row.log" | tail -8
+    [ $result = FAILED ] && { tail -8 "$run/row.log" | sed "s/^/    /"; echo; }
     return 0
 }
 
@@ -239,6 +239,22 @@
     start "$i" ./bin/auburnscale serve --settings "$run/$i.toml"
     until_ok 10 curl -sSf --max-time 2 "$(caller "$i")/readyz"
 }
+leader_paused() { # a leader that sleeps through a change must follow it when it wakes
+    local old names=(- a1 a2 b1) paused
+    old=$(leader)
+    [ "$old" -ge 1 ] || return 1
+    paused=${names[$old]}
+    kill -STOP "$(cat "$run/$paused.pid")"
+    operator=$(echo "$operator" | tr , '\n' | grep -v "^$(ip "$paused"):" | paste -sd,)
+    until_ok 10 new_leader "$old" && apply 4 rules2.toml
+    local changed=$?
+    kill -CONT "$(cat "$run/$paused.pid")"
+    [ $changed = 0 ] && until_ok 10 follows "$paused" && until_ok 10 order_at "$paused"
+}
+follows() { # the woken instance decides by the version accepted while it slept
+    ./bin/auburnscale status --json --operator "$(ip "$1"):7201" --operator-key-file "$run/operator.key" | grep -q '^  "asked_version": 4,$'
+}
+order_at() { order "$1" guild1 load-in-7 >"$run/order4.txt" && cmp "$run/order1.txt" "$run/order4.txt" && [ "$(runs)" = 2 ]; }
 planned_stop() {
     chat b2 guild1 200 true >"$run/long.txt" &
     local stream=$!
@@ -271,6 +287,7 @@
 row "the order's confirmation survives; it still ran once" order_survives
 row "a configuration is accepted by the new leader" change_survives
 row "the killed instance starts again and is ready" restarted
+row "a paused leader wakes up after a change, and follows it" leader_paused
 row "a planned stop cuts no stream" planned_stop
 row "the platform's usage figures are what callers were sent" billed_truly
 row "the audit trail tells it all" trailed
