Bound the prefix index over all services

Cause: the bound was per service; 16 services would have taken 384 MB of an instance's 256 (60 bytes a piece, measured at 50,000 to 400,000 pieces). Change: 1.6 million pieces are divided among the services and two generations. Figures: at most 96 MB at 16 services, worked out from the 60 bytes. Conclusion: the index fits the budget at the size to design for.

--- a/route/prefix.go
+++ b/route/prefix.go
@@ -8,10 +8,16 @@
 const (
 	// holdersPerPiece bounds the targets remembered for a piece.
 	holdersPerPiece = 4
-	// DefaultIndexPieces bounds one generation of the index.
-	DefaultIndexPieces = 200_000
+	// totalPieces bounds the pieces that an instance remembers over all
+	// services and generations; a piece takes about 60 bytes.
+	totalPieces = 1_600_000
+	generations = 2
 )
 
+// GenerationPieces returns the bound of one generation of one service's index
+// on an instance with so many services.
+func GenerationPieces(services int) int { return totalPieces / generations / max(1, services) }
+
 // A PrefixIndex represents which targets are thought to hold which prompt
 // prefixes. It learns from cache events, which come late and with gaps, and from
 // this instance's own dispatches. Two generations bound it: when the young one
--- a/target/book.go
+++ b/target/book.go
@@ -161,7 +161,7 @@
 	for _, s := range snapshot.Services() {
 		service := b.Service(s.Name)
 		if service == nil {
-			service = b.newService()
+			service = b.newService(len(snapshot.Services()))
 		}
 		b.rebuild(service, view, s.Name, now)
 		services[s.Name] = service
@@ -169,8 +169,8 @@
 	b.services.Store(&services)
 }
 
-func (b *Book) newService() *Service {
-	s := &Service{policy: b.config.Policy, breaker: retry.NewBreaker(), index: route.NewPrefixIndex(route.DefaultIndexPieces)}
+func (b *Book) newService(services int) *Service {
+	s := &Service{policy: b.config.Policy, breaker: retry.NewBreaker(), index: route.NewPrefixIndex(route.GenerationPieces(services))}
 	s.fleet.Store(route.NewFleet(nil, b.config.FailureDomain, s.index))
 	s.queue = admit.New(b.config.Queue, s)
 	return s
