Let the stand-in report the prompt rate of its present batch

Cause: the report gave the rate of a prompt without the step's own time or the streams beside it, a third above what a full step reaches, so instances let too many prompts pile up.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -232,11 +232,12 @@
 	t := e.config.Timing
 	slow := e.config.Faults.Slow
 	stepTime := t.Step + time.Duration(e.config.Slots)*t.DecodeStream
+	busyStep := t.Step + time.Duration(e.batch.chunk)*t.PrefillToken + time.Duration(len(e.batch.running))*t.DecodeStream
 	away := max(0, e.awayUntil.Sub(now))
 	load := engine.Load{
 		Name: e.config.Name, Incarnation: e.incarnation, Role: e.role, Running: len(e.batch.running),
 		Waiting: len(e.batch.waiting), WaitingTokens: e.batch.waitingTokens(), Slots: e.config.Slots,
-		PrefillRate: 1 / t.PrefillToken.Seconds() / slow, DecodeRate: 1 / stepTime.Seconds() / slow,
+		PrefillRate: float64(e.batch.chunk) / busyStep.Seconds() / slow, DecodeRate: 1 / stepTime.Seconds() / slow,
 		PrefillShare: e.share, AwayMs: away.Milliseconds(), LastOrder: e.lastOrder, Epoch: e.epoch,
 	}
 	return engineLoad{Load: load, CacheHits: e.batch.cache.hits, CacheAsked: e.batch.cache.asked}
