Do not ask for tokens behind the last one; say typed what no retry mends

Cause: reading the relay as a newcomer showed a retry decided by comparing a message's text, and a resume behind the last token that the stand-in answered with one token too many. Change: a failure says itself whether it is final; a stream that breaks behind its finish reason is whole; the stand-in stops at the limit. A test cuts streams behind the last token and behind the finish reason.

--- a/caller/failure.go
+++ b/caller/failure.go
@@ -46,6 +46,8 @@
 	message    string
 	notRun     bool
 	retryAfter time.Duration
+	// final is true if another target would not help.
+	final bool
 }
 
 // Error returns the message.
@@ -67,6 +69,12 @@
 	return f
 }
 
+// atOnce marks the failure as one that no retry can mend.
+func (f *Failure) atOnce() *Failure {
+	f.final = true
+	return f
+}
+
 // refusalOf turns an admission error into a failure.
 func refusalOf(err error, code Code) *Failure {
 	var refusal *admit.Refusal
--- a/caller/run.go
+++ b/caller/run.go
@@ -90,7 +90,7 @@
 	}
 	body, err := r.c.engineBody(r.position, r.text.String())
 	if err != nil {
-		return refuse(fasthttp.StatusBadRequest, CodeBadRequest, err.Error())
+		return refuse(fasthttp.StatusBadRequest, CodeBadRequest, err.Error()).atOnce()
 	}
 	r.server.countRoute(decision.Reason())
 	r.hold(t, r.prompt-decision.Cached())
@@ -107,9 +107,9 @@
 
 func (r *run) noTarget() *Failure {
 	if r.position > 0 || r.attempts > 0 {
-		return failed(fasthttp.StatusBadGateway, CodeTargetFailed, "no other target of the service is usable")
+		return failed(fasthttp.StatusBadGateway, CodeTargetFailed, "no other target of the service is usable").after(time.Second).atOnce()
 	}
-	return refuse(fasthttp.StatusServiceUnavailable, CodeNoTarget, "no target of the service is usable now").after(time.Second)
+	return refuse(fasthttp.StatusServiceUnavailable, CodeNoTarget, "no target of the service is usable now").after(time.Second).atOnce()
 }
 
 func (r *run) hold(t *route.Target, work int64) {
@@ -164,7 +164,7 @@
 	}
 	var status *engine.StatusError
 	if errors.As(err, &status) && status.Status() < fasthttp.StatusInternalServerError && status.Status() != fasthttp.StatusTooManyRequests {
-		return failed(status.Status(), CodeBadRequest, status.Body())
+		return failed(status.Status(), CodeBadRequest, status.Body()).atOnce()
 	}
 	message := fmt.Sprintf("the target failed: %v", err)
 	if exchange.NotSent(err) && r.attempts == 1 && r.position == 0 {
@@ -185,7 +185,7 @@
 		return failure
 	}
 	r.server.parts.Logger.Log(event.RequestQuarantine, zap.String("fingerprint", r.c.fingerprint), zap.String("request", r.c.id))
-	return failed(fasthttp.StatusServiceUnavailable, CodeQuarantined, "targets crashed while this request was in flight; it is not run again for a while")
+	return failed(fasthttp.StatusServiceUnavailable, CodeQuarantined, "targets crashed while this request was in flight; it is not run again for a while").atOnce()
 }
 
 func (r *run) mayTryAgain() bool {
@@ -219,8 +219,7 @@
 // again returns nil if the request may be tried on another target, or the final
 // failure.
 func (r *run) again(failure *Failure) *Failure {
-	final := failure.code == CodeQuarantined || failure.code == CodeBadRequest || failure.code == CodeNoTarget || r.ctx.Err() != nil
-	if final || r.target == nil && failure.message == "no other target of the service is usable" {
+	if failure.final || r.ctx.Err() != nil {
 		return failure
 	}
 	if !r.server.stillAllowed(r.c.who) {
@@ -246,7 +245,8 @@
 			r.prefilled()
 			return chunk, nil, nil
 		}
-		if err == io.EOF {
+		if err == io.EOF || r.reason != "" {
+			// Behind the finish reason nothing of the answer can be missing.
 			r.succeed()
 			return nil, nil, io.EOF
 		}
--- a/serve/failure_test.go
+++ b/serve/failure_test.go
@@ -117,6 +117,21 @@
 	}
 }
 
+// TestStreamsCutAtTheirEnd loses the finish reason or the end marker behind the
+// last token: nothing is missing then, and nothing may be added or repeated.
+func TestStreamsCutAtTheirEnd(t *testing.T) {
+	s := newSite(t, engines(4, standin.Faults{CutEndEvery: 6, CutMarkerEvery: 5}), nil)
+	s.start()
+	for i := range 24 {
+		text := fmt.Sprintf("lot %d", i)
+		a := s.post("a1", guildKey, "/v1/chat/completions", chatBody(text, 6, true))
+		got, done := a.streamed()
+		require.True(t, done, a.body)
+		require.Equal(t, want(text, 6), got)
+		require.Contains(t, a.body, `"finish_reason":"length"`)
+	}
+}
+
 // TestPoisonReachesTwoTargets resends a request that crashes every target that
 // runs it, through all instances. Two targets in the whole system may die of it.
 func TestPoisonReachesTwoTargets(t *testing.T) {
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -101,6 +101,9 @@
 // step runs one step and returns the prompt tokens and streams in it.
 func (b *batch) step() (prefill, decode int) {
 	for _, q := range b.running {
+		if q.position >= q.limit {
+			continue
+		}
 		if q.left == 0 {
 			q.position++
 			q.tokens <- q.position
--- a/standin/complete.go
+++ b/standin/complete.go
@@ -79,7 +79,7 @@
 		e.crash()
 		return
 	}
-	if every := e.config.Faults.CrossEvery; every > 0 && arrival%uint64(every) == 0 {
+	if due(e.config.Faults.CrossEvery, arrival) {
 		ctx.Response.Header.Set(requestIDHeader, "another-request")
 	}
 	w := &chunkWriter{engine: e, q: q, prompt: prompt, model: body.Model, chat: len(body.Messages) > 0, arrival: arrival}
@@ -142,21 +142,28 @@
 }
 
 func (w *chunkWriter) cutPosition() int {
-	every := w.engine.config.Faults.CutEvery
-	if every == 0 || w.arrival%uint64(every) != 0 {
+	if !due(w.engine.config.Faults.CutEvery, w.arrival) {
 		return -1
 	}
 	return w.q.limit/2 + 1
 }
 
+// due reports whether a fault of each n-th request concerns this one.
+func due(every int, arrival uint64) bool { return every > 0 && arrival%uint64(every) == 0 }
+
 // cutStream ends the stream so that the client sees a broken one: the body is
 // chunked, and a panic-free way to leave out its end is a body that ends without
 // the end marker of the event stream.
 func (e *Engine) cutStream(out *bufio.Writer) { _ = out.Flush() }
 
 func (w *chunkWriter) end(out *bufio.Writer) {
+	f := w.engine.config.Faults
+	if due(f.CutEndEvery, w.arrival) {
+		w.engine.cutStream(out)
+		return
+	}
 	reason := "length"
-	if w.send(out, w.chunk("", 0, &reason)) != nil {
+	if w.send(out, w.chunk("", 0, &reason)) != nil || due(f.CutMarkerEvery, w.arrival) {
 		return
 	}
 	last := w.chunk("", 0, nil)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -23,6 +23,10 @@
 	CrashMarker string
 	// CutEvery cuts each n-th stream in the middle.
 	CutEvery int
+	// CutEndEvery cuts each n-th stream behind its last token, before the
+	// finish reason; CutMarkerEvery behind the finish reason.
+	CutEndEvery    int
+	CutMarkerEvery int
 	// Slow multiplies the time of every step.
 	Slow float64
 	// CrossEvery echoes a wrong request id on each n-th request.
