Take an answer with all its tokens as whole

Change: an answer that has as many tokens as the caller asked for, or its finish reason, is whole; the test counts that no target is asked twice.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -57,6 +57,7 @@
 	raw         map[string]json.RawMessage
 	prompt      string
 	maxTokens   int64
+	limited     bool
 	pieces      []uint64
 	pieceTokens int64
 	fingerprint string
@@ -143,6 +144,7 @@
 	c.maxTokens = defaultMaxTokens
 	if body.MaxTokens != nil {
 		c.maxTokens = *body.MaxTokens
+		c.limited = true
 	}
 	if c.maxTokens < 1 || c.maxTokens > maxOutputTokens {
 		return refuse(fasthttp.StatusBadRequest, CodeBadRequest, fmt.Sprintf("max_tokens must be from 1 to %d", maxOutputTokens))
--- a/caller/run.go
+++ b/caller/run.go
@@ -245,8 +245,7 @@
 			r.prefilled()
 			return chunk, nil, nil
 		}
-		if err == io.EOF || r.reason != "" {
-			// Behind the finish reason nothing of the answer can be missing.
+		if err == io.EOF || r.isWhole() {
 			r.succeed()
 			return nil, nil, io.EOF
 		}
@@ -256,6 +255,18 @@
 	}
 }
 
+// isWhole reports whether nothing of the answer can be missing although its end
+// marker is: behind the finish reason, or behind as many tokens as were asked for.
+func (r *run) isWhole() bool {
+	if r.reason == "" && r.c.limited && int64(r.position) == r.c.maxTokens {
+		r.reason = lengthReason
+	}
+	return r.reason != ""
+}
+
+// lengthReason is the finish reason of an answer that reached max_tokens.
+const lengthReason = "length"
+
 // resume goes on from another target at the token where the stream broke.
 func (r *run) resume(err error) *Failure {
 	failure := r.broken(err)
--- a/serve/failure_test.go
+++ b/serve/failure_test.go
@@ -120,7 +120,7 @@
 // TestStreamsCutAtTheirEnd loses the finish reason or the end marker behind the
 // last token: nothing is missing then, and nothing may be added or repeated.
 func TestStreamsCutAtTheirEnd(t *testing.T) {
-	s := newSite(t, engines(4, standin.Faults{CutEndEvery: 6, CutMarkerEvery: 5}), nil)
+	s := newSite(t, engines(3, standin.Faults{CutEndEvery: 3, CutMarkerEvery: 4}), nil)
 	s.start()
 	for i := range 24 {
 		text := fmt.Sprintf("lot %d", i)
@@ -130,6 +130,11 @@
 		require.Equal(t, want(text, 6), got)
 		require.Contains(t, a.body, `"finish_reason":"length"`)
 	}
+	arrivals := 0
+	for _, e := range s.engines {
+		arrivals += int(e.Arrivals())
+	}
+	require.Equal(t, 24, arrivals, "a whole answer is not asked for again")
 }
 
 // TestPoisonReachesTwoTargets resends a request that crashes every target that
