--- a/caller/call.go
+++ b/caller/call.go
@@ -182,6 +182,9 @@
 	t.Begin(0)
 	defer t.End()
 	answer, err := s.parts.Services.Call(ctx, t.Address(), c.out)
+	if exchange.NotSent(err) {
+		s.parts.Book.NoteUnreachable(t.Name())
+	}
 	if err != nil || answer.Status() >= fasthttp.StatusInternalServerError {
 		c.service.Failed(t)
 	} else {
--- a/caller/failure.go
+++ b/caller/failure.go
@@ -48,6 +48,9 @@
 	retryAfter time.Duration
 	// final is true if another target would not help.
 	final bool
+	// free is true if the failed try cost no target anything, so that another
+	// one is not taken from the retry budget.
+	free bool
 }
 
 // Error returns the message.
--- a/caller/run.go
+++ b/caller/run.go
@@ -16,6 +16,7 @@
 	"auburnscale/event"
 	"auburnscale/exchange"
 	"auburnscale/peer"
+	"auburnscale/retry"
 	"auburnscale/route"
 	"auburnscale/usage"
 )
@@ -152,7 +153,12 @@
 	if !isStatus || status.Status() >= fasthttp.StatusInternalServerError {
 		r.c.service.Failed(t)
 	}
-	if isStatus || exchange.NotSent(err) || r.ctx.Err() != nil {
+	if exchange.NotSent(err) {
+		r.server.parts.Book.NoteUnreachable(t.Name())
+		failure.free = true
+		return failure
+	}
+	if isStatus || r.ctx.Err() != nil {
 		return failure
 	}
 	return r.checkCrash(t, failure)
@@ -225,6 +231,9 @@
 	if !r.server.stillAllowed(r.c.who) {
 		return failed(fasthttp.StatusUnauthorized, CodeWithdrawnKey, "the key was withdrawn while the request ran")
 	}
+	if failure.free && r.attempts < retry.MaxAttempts {
+		return nil
+	}
 	if !r.server.parts.Budget.Spend(r.c.who.workspace.Name, r.attempts) {
 		return failure
 	}
--- a/serve/failure_test.go
+++ b/serve/failure_test.go
@@ -339,6 +339,25 @@
 	require.Equal(t, 404, s.post("a1", "", "/targets/announce", `{"name":"stranger","address":"127.0.0.1:9"}`).status)
 }
 
+// TestDeadTargetsCostNoBudget kills half of the engines and sends many requests
+// at once, before anyone has noticed. A refused connection costs nothing, so no
+// retry budget may stand between a request and the engines that live.
+func TestDeadTargetsCostNoBudget(t *testing.T) {
+	s := newSite(t, engines(6, standin.Faults{}), nil)
+	s.start()
+	for _, e := range s.engines[:3] {
+		e.Kill()
+	}
+	answers := make(chan answer, 40)
+	for i := range cap(answers) {
+		go func() { answers <- s.chat("a1", guildKey, fmt.Sprint("rider ", i), 2) }()
+	}
+	for range cap(answers) {
+		a := <-answers
+		require.Equal(t, 200, a.status, a.body)
+	}
+}
+
 // TestDrainedTargetGetsNoWork drains one of two engines.
 func TestDrainedTargetGetsNoWork(t *testing.T) {
 	s := newSite(t, engines(2, standin.Faults{}), nil)
--- a/target/book.go
+++ b/target/book.go
@@ -295,6 +295,16 @@
 	return err != nil || load.Incarnation != incarnation
 }
 
+// NoteUnreachable says that a connection to the target was refused. It is asked
+// at once instead of at its next turn, and taken out if it does not answer.
+func (b *Book) NoteUnreachable(name string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if p := b.probes[name]; p != nil {
+		p.wakeUp()
+	}
+}
+
 // Incarnation returns the target's incarnation as last reported.
 func (b *Book) Incarnation(name string) string {
 	b.mutex.Lock()
