Mend what a first tour from a clean clone stumbled over

Cause: tried from a clean clone with the README alone, as operator and as caller. The tour withdrew the key that the caller's part then uses; the trail had entries without an actor where USER is not set; the printed stop command named a process that had ended, and left the folder.

--- a/command/root.go
+++ b/command/root.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/user"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -86,11 +87,20 @@
 func (a *access) flags(c *cobra.Command) {
 	c.Flags().StringSliceVar(&a.addresses, "operator", nil, "operator address of an instance; several are tried in turn")
 	c.Flags().StringVar(&a.keyFile, "operator-key-file", "", "file with the operators' key")
-	c.Flags().StringVar(&a.actor, "actor", os.Getenv("USER"), "who makes the change, for the audit trail")
+	c.Flags().StringVar(&a.actor, "actor", defaultActor(), "who makes the change, for the audit trail")
 	_ = c.MarkFlagRequired("operator")
 	_ = c.MarkFlagRequired("operator-key-file")
 }
 
+// defaultActor names the user of the operating system, so that no entry of the
+// audit trail is without one.
+func defaultActor() string {
+	if current, err := user.Current(); err == nil && current.Username != "" {
+		return current.Username
+	}
+	return "unknown"
+}
+
 func (a *access) client() (*operator.Client, error) {
 	data, err := os.ReadFile(a.keyFile)
 	if err != nil {
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -300,7 +300,7 @@
   callers:    $(for i in a1 a2 b1; do printf '%s ' "$(caller $i)"; done)
   operators:  ./bin/auburnscale status --operator $operator --operator-key-file $run/operator.key
   a key:      $(cat "$run/guild1.key")
-  stop it:    kill $(for f in "$run"/*.pid; do cat "$f"; done | paste -sd' ')
+  stop it:    kill $(for f in "$run"/*.pid; do kill -0 "$(cat "$f")" 2>/dev/null && cat "$f"; done | paste -sd' '); rm -r $run
 TEXT
 else
     stop_all
