--- a/admit/predict.go
+++ b/admit/predict.go
@@ -23,11 +23,6 @@
 			ahead++
 		}
 	}
-	if q.pace == 0 {
-		// Nothing is known yet of how fast the queue moves; the request may
-		// find out, and waits no longer than its limit.
-		return nil
-	}
 	wait := q.wait(ahead + 1)
 	if wait > limit {
 		return &Refusal{reason: fmt.Sprintf("the request would wait %v for a target", wait.Round(time.Millisecond)), retryAfter: max(minRetry, wait)}
