--- a/caller/call.go
+++ b/caller/call.go
@@ -210,11 +210,11 @@
 	}
 	answer, failure, ran := s.dispatchOnce(ctx, c)
 	if !ran {
-		s.claims.close(ctx, s, c, &peer.Outcome{NotRun: true})
+		s.claims.close(c, &peer.Outcome{NotRun: true})
 		return nil, failure
 	}
 	if answer != nil {
-		s.claims.close(ctx, s, c, outcomeOf(answer))
+		s.claims.close(c, outcomeOf(answer))
 	}
 	return answer, failure
 }
--- a/caller/claim.go
+++ b/caller/claim.go
@@ -22,19 +22,15 @@
 // outcome is not known.
 type claimer struct {
 	proposer Proposer
-	late     chan lateClose
+	late     chan *peer.Command
 	stop     chan struct{}
 	done     chan struct{}
 	once     sync.Once
 	started  bool
 }
 
-type lateClose struct {
-	command *peer.Command
-}
-
 func newClaimer(proposer Proposer) *claimer {
-	return &claimer{proposer: proposer, late: make(chan lateClose, lateQueue), stop: make(chan struct{}), done: make(chan struct{})}
+	return &claimer{proposer: proposer, late: make(chan *peer.Command, lateQueue), stop: make(chan struct{}), done: make(chan struct{})}
 }
 
 func (c *claimer) start() {
@@ -53,8 +49,8 @@
 	defer close(c.done)
 	for {
 		select {
-		case l := <-c.late:
-			c.propose(l.command, lateTimeout)
+		case command := <-c.late:
+			_ = c.propose(command, lateTimeout)
 		case <-c.stop:
 			c.flush()
 			return
@@ -66,25 +62,25 @@
 func (c *claimer) flush() {
 	for {
 		select {
-		case l := <-c.late:
-			c.propose(l.command, closeTimeout)
+		case command := <-c.late:
+			_ = c.propose(command, closeTimeout)
 		default:
 			return
 		}
 	}
 }
 
-func (c *claimer) propose(command *peer.Command, limit time.Duration) {
+func (c *claimer) propose(command *peer.Command, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	_, _ = c.proposer.Propose(ctx, command)
+	_, err := c.proposer.Propose(ctx, command)
+	return err
 }
 
-// close stores the outcome before the caller gets it.
-func (c *claimer) close(_ context.Context, s *Server, claimed *call, outcome *peer.Outcome) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if _, err := s.parts.Proposer.Propose(ctx, closeCommand(claimed, outcome)); err != nil {
+// close stores the outcome before the caller gets it. It does not end with the
+// caller's deadline: the outcome is a fact by now.
+func (c *claimer) close(claimed *call, outcome *peer.Outcome) {
+	if c.propose(closeCommand(claimed, outcome), closeTimeout) != nil {
 		c.later(claimed, outcome)
 	}
 }
@@ -93,7 +89,7 @@
 // drops it: then resends hear that the outcome is not known, which is true.
 func (c *claimer) later(claimed *call, outcome *peer.Outcome) {
 	select {
-	case c.late <- lateClose{command: closeCommand(claimed, outcome)}:
+	case c.late <- closeCommand(claimed, outcome):
 	default:
 	}
 }
--- a/serve/cluster_test.go
+++ b/serve/cluster_test.go
@@ -51,6 +51,8 @@
 	number    uint32
 	hosts     int
 	rules     string
+	// fourth makes b2 a possible voter, which is not in the first quorum.
+	fourth bool
 }
 
 var sites atomic.Uint32
@@ -108,7 +110,11 @@
 	c.Listen = settings.Listen{Caller: own["caller"], Peer: own["peer"], Operator: own["operator"]}
 	c.Peer.KeyFile, c.Operator.KeyFile = s.keyFile(), s.keyFile()
 	c.InitialVoters = []uint64{1, 2, 3}
-	for i, voter := range []string{"a1", "a2", "b1"} {
+	possible := []string{"a1", "a2", "b1"}
+	if s.fourth {
+		possible = append(possible, "b2")
+	}
+	for i, voter := range possible {
 		address := s.addresses[voter]["peer"]
 		if voter != name {
 			address = s.relay(name, voter, address)
@@ -133,7 +139,7 @@
 func (s *site) start() {
 	for i, name := range []string{"a1", "a2", "b1", "b2"} {
 		voterID := uint64(i + 1)
-		if name == "b2" {
+		if name == "b2" && !s.fourth {
 			voterID = 0
 		}
 		s.settings[name] = s.settingsOf(name, voterID)
--- a/serve/failure_test.go
+++ b/serve/failure_test.go
@@ -280,6 +280,31 @@
 	return sum
 }
 
+// TestReplaceAVoter follows the operators' page: a new voter joins as a learner,
+// becomes a voter, the old one is taken out and dies, and a second failure right
+// after it does not cost the quorum.
+func TestReplaceAVoter(t *testing.T) {
+	s := newSite(t, nil, nil)
+	s.fourth = true
+	s.start()
+	change := func(voters, learners []uint64) *operator.ChangeAnswer {
+		answer, err := s.client().Voters(context.Background(), operator.VotersRequest{Voters: voters, Learners: learners})
+		require.NoError(t, err)
+		return answer
+	}
+	require.False(t, change([]uint64{1, 2, 3, 4}, nil).Accepted, "a stranger is no voter")
+	require.True(t, change([]uint64{1, 2, 3}, []uint64{4}).Accepted)
+	s.await("the learner catches up", func() bool { return change([]uint64{1, 2, 3, 4}, nil).Accepted })
+	s.await("the old voter is out", func() bool { return change([]uint64{1, 2, 4}, nil).Accepted })
+	s.kill("b1")
+	s.kill("a2")
+	s.await("a leader among the two that are left", func() bool { return s.leader() == "a1" || s.leader() == "b2" })
+	s.await("a change is accepted", func() bool {
+		answer, err := s.client().Apply(context.Background(), operator.ApplyRequest{Version: 2, Inventory: s.inventory(), Rules: s.rules, Actor: "test"})
+		return err == nil && answer.Accepted
+	})
+}
+
 // TestOperatorsRace applies two configurations under one number from many hands:
 // one wins, the rest hear of a conflict, and the winner may be sent again.
 func TestOperatorsRace(t *testing.T) {
--- a/slope/control.go
+++ b/slope/control.go
@@ -87,12 +87,17 @@
 		return err
 	}
 	v.Start()
-	go func() { _ = server.Serve() }()
+	go (&listener{server}).run()
 	g.voters = append(g.voters, v)
 	g.stops = append(g.stops, func() { v.Stop(); senders.Close(); _ = server.Close(); folder.Close() })
 	return nil
 }
 
+// listener answers for one voter until it is closed.
+type listener struct{ server *link.Server }
+
+func (l *listener) run() { _ = l.server.Serve() }
+
 func (g *group) awaitLeader() error {
 	deadline := time.Now().Add(startLimit)
 	for g.leader() == nil {
@@ -272,6 +277,16 @@
 	return nil
 }
 
+// claimers sends claims at given times and notes how long each took from its
+// time on.
+type claimers struct {
+	group     *group
+	histogram *hdrhistogram.Histogram
+	mutex     sync.Mutex
+	waiting   sync.WaitGroup
+	slots     chan struct{}
+}
+
 func measureClaims(ctx context.Context, rate int) (*ClaimPoint, error) {
 	g, err := newGroup()
 	if err != nil {
@@ -280,36 +295,34 @@
 	defer g.close()
 	ctx, cancel := context.WithTimeout(ctx, claimSpan+startLimit)
 	defer cancel()
-	const maxMicroseconds, digits = 60_000_000, 3
-	histogram := hdrhistogram.New(1, maxMicroseconds, digits)
-	var mutex sync.Mutex
-	var group sync.WaitGroup
-	slots := make(chan struct{}, claimWorkers)
+	const maxMicroseconds, digits, perMs = 60_000_000, 3, 1000.0
+	c := &claimers{group: g, histogram: hdrhistogram.New(1, maxMicroseconds, digits), slots: make(chan struct{}, claimWorkers)}
 	began := time.Now()
-	total := int(claimSpan.Seconds() * float64(rate))
-	for i := range total {
+	for i := range int(claimSpan.Seconds() * float64(rate)) {
 		due := began.Add(time.Duration(i) * time.Second / time.Duration(rate))
 		time.Sleep(time.Until(due))
-		slots <- struct{}{}
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			defer func() { <-slots }()
-			if g.claim(ctx, i) == nil {
-				mutex.Lock()
-				defer mutex.Unlock()
-				_ = histogram.RecordValue(time.Since(due).Microseconds())
-			}
-		}()
+		c.slots <- struct{}{}
+		c.waiting.Add(1)
+		go c.run(ctx, i, due)
 	}
-	group.Wait()
-	const perMs = 1000.0
+	c.waiting.Wait()
 	return &ClaimPoint{
-		Offered: rate, Done: float64(histogram.TotalCount()) / time.Since(began).Seconds(),
-		P50Ms: float64(histogram.ValueAtQuantile(50)) / perMs, P99Ms: float64(histogram.ValueAtQuantile(99)) / perMs,
+		Offered: rate, Done: float64(c.histogram.TotalCount()) / time.Since(began).Seconds(),
+		P50Ms: float64(c.histogram.ValueAtQuantile(50)) / perMs, P99Ms: float64(c.histogram.ValueAtQuantile(99)) / perMs,
 	}, nil
 }
 
+func (c *claimers) run(ctx context.Context, i int, due time.Time) {
+	defer c.waiting.Done()
+	defer func() { <-c.slots }()
+	if c.group.claim(ctx, i) != nil {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	_ = c.histogram.RecordValue(time.Since(due).Microseconds())
+}
+
 // claim opens one claim, which is what a call waits for before its first byte.
 func (g *group) claim(ctx context.Context, i int) error {
 	_, err := g.propose(ctx, &peer.Command{Body: &peer.Command_OpenClaim{OpenClaim: &peer.OpenClaim{
