--- a/caller/relay.go
+++ b/caller/relay.go
@@ -107,7 +107,7 @@
 	Index        int           `json:"index"`
 	Message      *wholeMessage `json:"message,omitempty"`
 	Text         *string       `json:"text,omitempty"`
-	FinishReason string        `json:"reasonreason"`
+	FinishReason string        `json:"finish_reason"`
 }
 
 type wholeMessage struct {
--- a/command/serve.go
+++ b/command/serve.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -20,12 +22,17 @@
 	c := &cobra.Command{Use: "serve", Short: "run one instance", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		return serveInstance(c.Context(), file)
 	}}
-	c.Flags().StringVar(&file, "settings", "", "settings file of the instance")
-	_ = c.MarkFlagRequired("settings")
+	c.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file of the instance; the default is $"+settingsVariable)
 	return c
 }
 
+// settingsVariable names the settings file where the command line does not.
+const settingsVariable = "AUBURNSCALE_BOOT"
+
 func serveInstance(ctx context.Context, file string) error {
+	if file == "" {
+		return &usageError{errors.New("no settings file: give --settings or set $" + settingsVariable)}
+	}
 	s, findings := settings.Read(file)
 	if err := findings.Err(); err != nil {
 		return err
@@ -40,6 +47,9 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if s.Fleet.Enabled() {
+		return runFleet(ctx, file, s, event.New(logger.With(zap.String("instance", s.Instance))))
+	}
 	process, err := serve.New(s, event.New(logger.With(zap.String("instance", s.Instance))))
 	if err != nil {
 		return err
@@ -49,3 +59,69 @@
 	}
 	return nil
 }
+
+// runFleet runs an instance of a fleet that finds itself.
+func runFleet(ctx context.Context, file string, s settings.Settings, logger *event.Logger) error {
+	process, err := serve.NewFleet(s, logger)
+	if err != nil {
+		return err
+	}
+	r := &reloader{file: file, process: process, logger: logger}
+	go r.run(ctx)
+	if err := process.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// reloadInterval is the time between two looks at the settings file, which may
+// change without a signal.
+const reloadInterval = 2 * time.Second
+
+// A reloader reads the settings again when a signal says so or the file changes.
+type reloader struct {
+	file    string
+	process serve.Reloader
+	logger  *event.Logger
+	changed time.Time
+}
+
+func (r *reloader) run(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	r.changed = r.modified()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			r.reload()
+		case <-ticker.C:
+			if at := r.modified(); !at.Equal(r.changed) {
+				r.reload()
+			}
+		}
+	}
+}
+
+func (r *reloader) modified() time.Time {
+	info, err := os.Stat(r.file)
+	if err != nil {
+		// A file that is being replaced is there at the next look.
+		return r.changed
+	}
+	return info.ModTime()
+}
+
+func (r *reloader) reload() {
+	r.changed = r.modified()
+	s, findings := settings.Read(r.file)
+	if err := findings.Err(); err != nil {
+		r.logger.Log(event.SettingsRefused, zap.Error(err))
+		return
+	}
+	r.process.Reload(s)
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -48,6 +48,7 @@
 	revision      uint64
 	clock         int64
 	configuration *peer.ApplyConfiguration
+	document      *peer.ReplaceDocument
 	earlier       []*peer.ApplyConfiguration
 	withdrawn     map[string]uint64
 	drains        map[drainKey]uint64
@@ -95,6 +96,8 @@
 	switch body := e.Command.Body.(type) {
 	case *peer.Command_Apply:
 		return m.apply(e, body.Apply)
+	case *peer.Command_Replace:
+		return m.replaceDocument(e, body.Replace)
 	case *peer.Command_Withdraw:
 		return m.withdraw(e, body.Withdraw)
 	case *peer.Command_Drain:
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -14,7 +14,7 @@
 func (m *Machine) Snapshot() *peer.State {
 	s := &peer.State{
 		Applied: m.applied, Revision: m.revision, ClockMs: m.clock,
-		Configuration: m.configuration, Earlier: slices.Clone(m.earlier),
+		Configuration: m.configuration, Document: m.document, Earlier: slices.Clone(m.earlier),
 		Instances: m.Instances(), Intents: m.Intents(),
 		SettledWindow: m.settledWindow,
 		Trail:         slices.Clone(m.trail),
@@ -45,7 +45,7 @@
 	s := proto.Clone(state).(*peer.State)
 	*m = Machine{
 		limits: m.limits, applied: s.Applied, revision: s.Revision, clock: s.ClockMs,
-		configuration: s.Configuration, earlier: s.Earlier, trail: s.Trail, settledWindow: s.SettledWindow,
+		configuration: s.Configuration, document: s.Document, earlier: s.Earlier, trail: s.Trail, settledWindow: s.SettledWindow,
 		withdrawn: map[string]uint64{}, drains: map[drainKey]uint64{}, quarantines: map[string]*peer.QuarantineMark{},
 		claims: map[claimKey]*peer.Claim{}, intents: map[string]*peer.Intent{},
 		instances: map[string]*peer.Join{}, windows: map[int64]*peer.Window{}, settled: map[counterKey]*peer.Counter{},
--- a/event/event.go
+++ b/event/event.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"log"
 	"slices"
 	"strings"
 
@@ -64,6 +65,23 @@
 	RequestQuarantine = define(501, "request_quarantined", zapcore.WarnLevel, "a request was in flight when two targets crashed; it is refused for a while")
 	StreamResumed     = define(502, "stream_resumed", zapcore.InfoLevel, "a broken stream goes on from another target at the token where it broke")
 	ConnectionFailed  = define(503, "connection_failed", zapcore.DebugLevel, "a caller's connection broke or sent what is no request")
+	RequestServed     = define(510, "request_served", zapcore.InfoLevel, "a request was answered by a target; status is the target's own")
+	RequestRefused    = define(511, "request_refused", zapcore.WarnLevel, "a request got an answer of this system; not_run says whether a target can have begun it")
+	RequestCancelled  = define(512, "request_cancelled", zapcore.InfoLevel, "the caller left; the target's run was cancelled")
+	StreamCut         = define(513, "stream_cut", zapcore.WarnLevel, "a stream ended before its end and could not go on elsewhere; the caller's connection was closed")
+	TargetBroke       = define(514, "target_broke", zapcore.WarnLevel, "an exchange with a target failed")
+	TargetDeclined    = define(515, "target_declined", zapcore.InfoLevel, "a target stated that it did not run the request")
+	TargetHeard       = define(407, "target_heard", zapcore.InfoLevel, "a target announced itself or its state changed")
+	VotersPlanned     = define(207, "voters_planned", zapcore.InfoLevel, "the leader changes the voter set; reason says why")
+	ReplicaFounded    = define(208, "replica_founded", zapcore.InfoLevel, "this data folder is new; founder tells whether it belongs to the first voters")
+	ReplicaEnrols     = define(209, "replica_enrols", zapcore.InfoLevel, "this replica hears no leader and asks to take part")
+	DocumentAccepted  = define(306, "document_accepted", zapcore.InfoLevel, "an operator's configuration is committed or was overtaken")
+	DocumentRefused   = define(307, "document_refused", zapcore.WarnLevel, "an operator's configuration is invalid; findings say where")
+	ControlLost       = define(308, "control_lost", zapcore.WarnLevel, "a control instance does not answer")
+	ControlBack       = define(309, "control_back", zapcore.InfoLevel, "a control instance answers again")
+	SettingsReloaded  = define(105, "settings_reloaded", zapcore.InfoLevel, "the settings file was read again")
+	SettingsRefused   = define(107, "settings_refused", zapcore.ErrorLevel, "the changed settings file has findings; the old settings stay in force")
+	NoInnerKey        = define(106, "no_inner_key", zapcore.WarnLevel, "instances do not authenticate to each other, since the settings name no key; only the network keeps others out")
 	HoldFailed        = define(601, "hold_failed", zapcore.WarnLevel, "no second instance took a copy of the usage counters in time")
 	WindowClosed      = define(602, "window_closed", zapcore.InfoLevel, "a usage window's figures are committed")
 )
@@ -98,6 +116,17 @@
 	return b.String()
 }
 
+// Standard returns a logger of the standard library that writes numbered events.
+func (l *Logger) Standard() *log.Logger { return log.New(lineWriter{l}, "", 0) }
+
+type lineWriter struct{ logger *Logger }
+
+// Write logs the line.
+func (w lineWriter) Write(line []byte) (int, error) {
+	w.logger.Log(ConnectionFailed, zap.String("detail", strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
 // Printf logs a line of the HTTP library as a numbered event.
 func (l *Logger) Printf(format string, args ...any) {
 	l.Log(ConnectionFailed, zap.String("detail", fmt.Sprintf(format, args...)))
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,324 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"auburnscale/catalog"
+	"auburnscale/clock"
+	"auburnscale/exchange"
+	"auburnscale/route"
+)
+
+// A call represents one request on its way.
+type call struct {
+	server *Server
+	writer http.ResponseWriter
+	http   *http.Request
+
+	ask           Ask
+	configuration *catalog.Snapshot
+	route         *catalog.Route
+	service       *catalog.Service
+	workspace     *catalog.Workspace
+	body          []byte
+	prompt        route.Prompt
+	fingerprint   uint64
+	arrived       time.Time
+	// limit is when the caller is answered in any case.
+	limit  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	avoid []string
+	// sends counts requests that reached a target, runs those that it may have
+	// begun to run.
+	sends, runs int
+	// reread is true if the request goes without a hand-over from now on.
+	reread bool
+	// last is a target's own failure that is passed on if no other try helps.
+	last *keptReply
+
+	begun     bool
+	first     time.Duration
+	outcome   string
+	target    string
+	estimated time.Duration
+}
+
+const (
+	// maxSends bounds how often one request is sent, refusals included.
+	maxSends = 3
+	// maxTries bounds the targets tried for one request, unreachable ones
+	// included.
+	maxTries = 6
+	// noConfigurationWait is when a caller should come back to an instance that
+	// has just started.
+	noConfigurationWait = 300 * time.Millisecond
+	// defaultWait bounds requests that say no deadline on routes without one.
+	defaultWait = time.Minute
+	// roundTrip is what an answer needs to reach the caller.
+	roundTrip = 15 * time.Millisecond
+)
+
+// prepare decides whether the request may run at all, and reads it.
+func (s *Server) prepare(w http.ResponseWriter, r *http.Request) (*call, *failure) {
+	c := &call{server: s, writer: w, http: r, arrived: time.Now(), ask: s.parts.Codec.Ask(r.Header)}
+	c.configuration = s.parts.Sources.Configuration()
+	if c.configuration == nil {
+		return c, refuse(http.StatusServiceUnavailable, "no_configuration", "this instance has no configuration yet").after(noConfigurationWait)
+	}
+	c.route = c.configuration.Match(r.Host, r.URL.EscapedPath())
+	if c.route == nil {
+		return c, refuse(http.StatusNotFound, "no_route", "no route has this host and path")
+	}
+	if f := c.identify(); f != nil {
+		return c, f
+	}
+	c.service = c.configuration.Service(c.route.Choose(rand.Float64()))
+	if f := c.read(); f != nil {
+		return c, f
+	}
+	c.limit = c.arrived.Add(c.route.Timeout)
+	if wait := c.ask.Wait; wait > 0 && wait < c.route.Timeout {
+		c.limit = c.arrived.Add(wait)
+	}
+	return c, nil
+}
+
+func (c *call) identify() *failure {
+	if !c.configuration.Keyed() {
+		return nil
+	}
+	workspace, ok := c.configuration.Authenticate(c.ask.Key)
+	if ok {
+		c.workspace = workspace
+		return nil
+	}
+	if c.route.Open {
+		return nil
+	}
+	return refuse(http.StatusUnauthorized, "unknown_key", "no workspace holds this key")
+}
+
+func (c *call) read() *failure {
+	limit := c.configuration.Limits().BodyBytes
+	if c.http.ContentLength > limit {
+		return refuse(http.StatusRequestEntityTooLarge, "too_large", "the body is over the limit")
+	}
+	body, err := io.ReadAll(io.LimitReader(c.http.Body, limit+1))
+	if err != nil {
+		c.writer.Header().Set("Connection", "close")
+		return refuse(http.StatusBadRequest, "bad_request", "the body could not be read in full")
+	}
+	if int64(len(body)) > limit {
+		c.writer.Header().Set("Connection", "close")
+		return refuse(http.StatusRequestEntityTooLarge, "too_large", "the body is over the limit")
+	}
+	c.body = body
+	c.prompt = promptOf(c.ask)
+	c.fingerprint = c.fingerprintOf()
+	return nil
+}
+
+// fingerprintOf names the request as its caller would send it again.
+func (c *call) fingerprintOf() uint64 {
+	h := xxhash.New()
+	// A hash takes any number of bytes without an error.
+	_, _ = h.WriteString(c.http.Method + " " + c.http.Host + c.http.URL.RequestURI() + "\n" + c.ask.Key + "\n")
+	_, _ = h.Write(c.body)
+	return h.Sum64()
+}
+
+// promptOf chains the parts that other requests may share. The last part is the
+// request's own or its session's.
+func promptOf(a Ask) route.Prompt {
+	p := route.Prompt{Total: a.PromptTokens}
+	if a.Model == "" {
+		return p
+	}
+	chain := xxhash.Sum64String(a.Model)
+	tokens := int64(0)
+	for _, part := range a.Parts {
+		chain = (chain ^ part.ID) * hashPrime
+		tokens += part.Tokens
+		p.Pieces = append(p.Pieces, chain)
+		p.Tokens = append(p.Tokens, tokens)
+	}
+	return p
+}
+
+// hashPrime is the 64-bit prime of FNV-1a.
+const hashPrime = 1099511628211
+
+// serve runs the request and answers the caller.
+func (c *call) serve() {
+	s := c.server
+	c.ctx, c.cancel = context.WithDeadline(c.http.Context(), c.limit)
+	defer c.cancel()
+	s.parts.Budget.Request(c.service.Name, clock.Now())
+	if f := c.run(); f != nil {
+		c.finish(f)
+		return
+	}
+	s.logServed(c)
+}
+
+// finish answers with a failure, or with what a target said of its own.
+func (c *call) finish(f *failure) {
+	if c.http.Context().Err() != nil {
+		c.server.logGone(c)
+		return
+	}
+	if c.last != nil && !f.notRun {
+		c.last.write(c)
+		c.server.logServed(c)
+		return
+	}
+	c.server.logRefusal(c, f)
+	f.write(c.writer, c.ask.ID)
+}
+
+// run sends the request until an answer is on its way to the caller, or nothing
+// more can be tried.
+func (c *call) run() *failure {
+	if wait, poisoned := c.server.parts.Suspects.Refused(c.fingerprint); poisoned {
+		return refuse(http.StatusServiceUnavailable, "quarantined", "targets broke off while they ran this request").after(wait)
+	}
+	for range maxTries {
+		placement := c.place()
+		if placement.Runner == nil {
+			return c.noTarget()
+		}
+		if f := c.tooLate(placement); f != nil {
+			return f
+		}
+		done, f := c.try(placement)
+		if done {
+			return nil
+		}
+		if f != nil {
+			return f
+		}
+		if c.ctx.Err() != nil {
+			return c.overdue()
+		}
+	}
+	return c.noTarget()
+}
+
+func (c *call) place() route.Placement {
+	fleet := c.server.parts.Fleets.Fleet(c.service.Name)
+	if fleet == nil {
+		return route.Placement{}
+	}
+	prompt := c.prompt
+	if c.reread {
+		return c.server.parts.Fleets.Placer().Direct(fleet, prompt, c.avoid, time.Now())
+	}
+	return c.server.parts.Fleets.Placer().Place(fleet, prompt, c.avoid, time.Now())
+}
+
+// noTarget refuses a request that cannot have run, and fails any other.
+func (c *call) noTarget() *failure {
+	if c.runs > 0 {
+		return fail(http.StatusBadGateway, "target_failed", "the target broke off and no other can take the request")
+	}
+	return refuse(http.StatusServiceUnavailable, "no_target", "no target of the service can take the request now").after(c.comeBack())
+}
+
+func (c *call) overdue() *failure {
+	if c.runs > 0 {
+		return fail(http.StatusGatewayTimeout, "timeout", "the answer did not come in time")
+	}
+	return refuse(http.StatusServiceUnavailable, "timeout", "no target took the request in time").after(c.comeBack())
+}
+
+const (
+	// minComeBack and maxComeBack bound Retry-After: long enough for a target
+	// to come free, short enough for the caller's deadline.
+	minComeBack = 150 * time.Millisecond
+	maxComeBack = time.Second
+)
+
+// comeBack is a fair time after which the caller can be served if it can at all.
+func (c *call) comeBack() time.Duration {
+	return min(maxComeBack, max(minComeBack, c.route.Objective))
+}
+
+// patience is how long a caller waits for the first event of a stream before it
+// goes, as far as the system knows.
+func (c *call) patience() time.Duration {
+	const least, objectives, gaps = 2 * time.Second, 4, 8
+	return max(least, objectives*c.route.Objective, gaps*c.route.Gap)
+}
+
+// tooLate refuses at once what is estimated to come when nobody waits any more.
+func (c *call) tooLate(p route.Placement) *failure {
+	c.estimated = p.First
+	left := time.Until(c.limit)
+	if c.route.Repetition == catalog.Streamed {
+		left = min(left, c.patience()-time.Since(c.arrived))
+	}
+	if p.First < left || c.runs > 0 {
+		return nil
+	}
+	return refuse(http.StatusServiceUnavailable, "overloaded", "the answer would come too late").after(max(c.comeBack(), p.First-left))
+}
+
+// mayRepeat reports whether the request may be sent to another target after it
+// may have run.
+func (c *call) mayRepeat() bool {
+	return c.route.MayRepeat() && c.runs < c.route.Attempts && c.sends < maxSends
+}
+
+// repeat asks the budget for one more arrival at the service.
+func (c *call) repeat() bool {
+	return c.sends < maxSends && c.server.parts.Budget.Spend(c.service.Name, clock.Now())
+}
+
+func (c *call) priority() int {
+	if c.workspace != nil && c.workspace.Priority >= 0 {
+		return c.workspace.Priority
+	}
+	return c.route.Priority
+}
+
+func (c *call) workspaceName() string {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
+
+// count notes that a target began to run the request.
+func (c *call) count() {
+	if c.begun {
+		return
+	}
+	c.begun = true
+	c.first = time.Since(c.arrived)
+	c.server.parts.Begun.Count(c.workspaceName())
+}
+
+// request builds what goes to the target.
+func (c *call) request(d Dispatch) *exchange.Request {
+	d.Workspace = c.workspaceName()
+	d.Left = time.Until(c.limit)
+	d.Priority = c.priority()
+	return &exchange.Request{
+		Method: c.http.Method, URI: c.http.URL.RequestURI(), Host: c.http.Host,
+		Header: c.server.parts.Codec.Outgoing(c.http.Header, d), Body: c.body,
+	}
+}
+
+// isCaller reports whether the failure is due to the caller's leaving.
+func (c *call) isCaller(err error) bool {
+	return err != nil && errors.Is(c.http.Context().Err(), context.Canceled)
+}
--- /dev/null
+++ b/gateway/try.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"auburnscale/catalog"
+	"auburnscale/clock"
+	"auburnscale/exchange"
+	"auburnscale/route"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is read whole before it goes on.
+	maxAnswerBytes = 16 << 20
+	// maxHandleBytes bounds the answer to a request that was only read.
+	maxHandleBytes = 64 << 10
+)
+
+// try sends the request once by the placement. It returns true if the caller
+// has its answer, a failure if that is final, and neither if another target can
+// be tried.
+func (c *call) try(p route.Placement) (bool, *failure) {
+	source, f := c.readElsewhere(p)
+	if f != nil || c.ctx.Err() != nil {
+		return false, f
+	}
+	if p.Reader != nil && source == "" {
+		// The prompt could not be read there; place it anew.
+		c.reread = true
+		return false, nil
+	}
+	work := p.Work
+	if source != "" {
+		work = 0
+	}
+	p.Runner.Begin(work)
+	held := work
+	defer func() { p.Runner.Prefilled(held); p.Runner.End() }()
+	began := func() {
+		p.Runner.Prefilled(held)
+		held = 0
+	}
+	return c.send(p.Runner, Dispatch{Target: p.Runner.Name(), Source: source, LastEvent: c.ask.LastEvent}, began)
+}
+
+// readElsewhere lets the placement's reader read the prompt. It returns no
+// source if there is no reader or it failed; a prompt that is read twice costs
+// time only.
+func (c *call) readElsewhere(p route.Placement) (string, *failure) {
+	t := p.Reader
+	if t == nil {
+		return "", nil
+	}
+	t.Begin(p.Work)
+	defer func() { t.Prefilled(p.Work); t.End() }()
+	reply, err := c.server.parts.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), ReadOnly: true}))
+	if err != nil {
+		c.noteError(t, err)
+		return "", nil
+	}
+	defer reply.Close()
+	said := c.note(t, reply)
+	if reply.Status() != http.StatusOK || said.NotRun {
+		c.server.parts.Fleets.Failed(c.service.Name, t, said.Other)
+		c.avoid = append(c.avoid, t.Name())
+		// The read was rejected and counts as an arrival; the direct one that
+		// follows is the request's first.
+		c.server.parts.Budget.Note(c.service.Name, clock.Now())
+		return "", nil
+	}
+	body, err := reply.ReadAll(maxHandleBytes)
+	if err != nil {
+		c.noteError(t, err)
+		return "", nil
+	}
+	handle, err := c.server.parts.Codec.DecodeHandle(body)
+	if err != nil {
+		c.noteError(t, err)
+		return "", nil
+	}
+	c.server.parts.Fleets.Holds(c.service.Name, t, c.prompt.Pieces)
+	return c.server.parts.Codec.Source(t.Address(), handle), nil
+}
+
+// noteError takes a target out after it did not answer.
+func (c *call) noteError(t *route.Target, err error) {
+	c.avoid = append(c.avoid, t.Name())
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.server.parts.Fleets.Failed(c.service.Name, t, false)
+	c.server.logBroken(c, t, err)
+}
+
+// note takes what the answer says of the target.
+func (c *call) note(t *route.Target, reply *exchange.Reply) Reply {
+	said := c.server.parts.Codec.Reply(reply.Status(), reply.Header())
+	if said.HasLoad {
+		t.SetReport(route.Load{Running: said.Load.Running, Waiting: said.Load.Waiting}, time.Now())
+	}
+	return said
+}
+
+// send passes the request to the target that makes the answer.
+func (c *call) send(t *route.Target, d Dispatch, began func()) (bool, *failure) {
+	c.target = t.Name()
+	if c.sends > 0 && !c.repeat() {
+		return false, c.noTarget()
+	}
+	reply, err := c.server.parts.Dialer.Send(c.ctx, t.Address(), c.request(d))
+	if err != nil {
+		return c.sendFailed(t, err)
+	}
+	defer reply.Close()
+	c.sends++
+	said := c.note(t, reply)
+	if said.NotRun {
+		return c.notRun(t, said, d.Source != "")
+	}
+	c.runs++
+	if reply.Status() >= http.StatusInternalServerError {
+		return c.targetFailed(t, reply, said)
+	}
+	if c.route.Repetition == catalog.Streamed && reply.Status() == http.StatusOK {
+		return c.stream(t, reply, began)
+	}
+	return c.deliver(t, reply, said)
+}
+
+func (c *call) sendFailed(t *route.Target, err error) (bool, *failure) {
+	if exchange.NotSent(err) {
+		c.noteError(t, err)
+		return false, nil
+	}
+	c.sends++
+	c.runs++
+	return false, c.broken(t, err)
+}
+
+// notRun handles a target's statement that it did not run the request.
+func (c *call) notRun(t *route.Target, said Reply, handedOver bool) (bool, *failure) {
+	c.server.logNotRun(c, t, said)
+	if handedOver && !said.Other {
+		// The cache could not be had, which says nothing about the target.
+		c.reread = true
+		return false, nil
+	}
+	c.avoid = append(c.avoid, t.Name())
+	if said.Other {
+		c.server.parts.Fleets.Failed(c.service.Name, t, true)
+	}
+	return false, nil
+}
+
+// broken handles an exchange that ended after the request may have run.
+func (c *call) broken(t *route.Target, err error) *failure {
+	if c.isCaller(err) {
+		return c.overdue()
+	}
+	if c.ctx.Err() != nil {
+		return c.overdue()
+	}
+	c.noteError(t, err)
+	c.server.parts.Suspects.Note(c.fingerprint, clock.Now())
+	if c.mayRepeat() {
+		return nil
+	}
+	if errors.Is(err, exchange.ErrCrossed) {
+		return fail(http.StatusBadGateway, "target_failed", "the target answered another request")
+	}
+	return fail(http.StatusBadGateway, "target_failed", "the target broke off; the request may have run")
+}
+
+// targetFailed handles a target's own failure, which counts as a run.
+func (c *call) targetFailed(t *route.Target, reply *exchange.Reply, said Reply) (bool, *failure) {
+	body, err := reply.ReadAll(maxAnswerBytes)
+	if err != nil {
+		return false, c.broken(t, err)
+	}
+	if !said.Stamped {
+		c.noteError(t, errUnstamped)
+		if c.mayRepeat() {
+			return false, nil
+		}
+		return false, fail(http.StatusBadGateway, "target_failed", "something else than a target answered")
+	}
+	c.count()
+	c.server.parts.Fleets.Failed(c.service.Name, t, false)
+	c.last = &keptReply{status: reply.Status(), header: reply.Header(), body: body}
+	if c.mayRepeat() {
+		c.avoid = append(c.avoid, t.Name())
+		return false, nil
+	}
+	c.last.write(c)
+	return true, nil
+}
+
+var errUnstamped = errors.New("the answer bears no sign of a target")
+
+// deliver passes on an answer in one piece, whole or not at all.
+func (c *call) deliver(t *route.Target, reply *exchange.Reply, said Reply) (bool, *failure) {
+	body, err := reply.ReadAll(maxAnswerBytes)
+	if err != nil {
+		return false, c.broken(t, err)
+	}
+	if !said.Stamped {
+		return false, c.broken(t, errUnstamped)
+	}
+	c.count()
+	c.server.parts.Fleets.Succeeded(c.service.Name, t)
+	c.server.parts.Suspects.Clear(c.fingerprint)
+	kept := &keptReply{status: reply.Status(), header: reply.Header(), body: body}
+	kept.write(c)
+	return true, nil
+}
--- a/link/link.go
+++ b/link/link.go
@@ -98,13 +98,14 @@
 	return peer.NewPeerProtobufClient(scheme+address, c.http, authorize)
 }
 
-// Handler serves the inner protocol to those who know the key.
+// Handler serves the inner protocol to those who know the key, or to everyone
+// if the key is empty.
 func Handler(key string, server peer.Peer) http.Handler {
 	inner := peer.NewPeerServer(server)
 	want := []byte(authorizationKind + key)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		got := []byte(r.Header.Get(authorizationName))
-		if subtle.ConstantTimeCompare(got, want) != 1 {
+		if key != "" && subtle.ConstantTimeCompare(got, want) != 1 {
 			http.Error(w, "the peer key does not match", http.StatusUnauthorized)
 			return
 		}
@@ -122,7 +123,7 @@
 
 // Listen opens the listener for the handler. Serve must be called next.
 func Listen(address string, handler http.Handler, certificates *certificate.Store) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := bind.Listen(address)
 	if err != nil {
 		return nil, err
 	}
--- a/member/follower.go
+++ b/member/follower.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"auburnscale/clock"
 	"auburnscale/delta"
 	"auburnscale/event"
 	"auburnscale/inventory"
@@ -56,7 +57,6 @@
 	fresh     atomic.Int64
 	replaced  atomic.Bool
 	draining  atomic.Bool
-	started   time.Time
 	wake      chan struct{}
 	stop      chan struct{}
 	done      chan struct{}
@@ -72,7 +72,7 @@
 // called if a newer process has taken this instance's place.
 func NewFollower(config FollowerConfig, dialer Dialer, usage UsageSource, logger *event.Logger, onReplace func()) *Follower {
 	f := &Follower{
-		config: config, dialer: dialer, usage: usage, logger: logger, started: time.Now(), onReplace: onReplace,
+		config: config, dialer: dialer, usage: usage, logger: logger, onReplace: onReplace,
 		wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	for id := range config.Voters {
@@ -110,7 +110,7 @@
 // sent less than the freshness bound ago.
 func (f *Follower) Fresh() bool {
 	until := f.fresh.Load()
-	return until > 0 && int64(time.Since(f.started)) < until
+	return until > 0 && int64(clock.Now()) < until
 }
 
 // Ready reports whether the instance has a configuration that a leader under its
@@ -215,7 +215,7 @@
 	}
 	view := f.View()
 	counters := f.usage.Unsettled(view)
-	sent := time.Since(f.started)
+	sent := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, f.config.Interval+answerSlack)
 	defer cancel()
 	answer, err := f.dialer.Peer(address).Sync(ctx, &peer.SyncRequest{
--- a/member/table.go
+++ b/member/table.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"auburnscale/clock"
 	"auburnscale/control"
 	"auburnscale/delta"
 	"auburnscale/peer"
@@ -60,7 +61,7 @@
 func (t *Table) Sync(ctx context.Context, request *peer.SyncRequest) (*peer.SyncResponse, error) {
 	standing := t.voter.Standing()
 	answer := &peer.SyncResponse{Leader: standing.Leader(), Term: standing.Term()}
-	current := standing.MayAct(time.Now())
+	current := standing.MayAct(clock.Now())
 	if current && !t.join(ctx, request) {
 		return &peer.SyncResponse{Replaced: true}, nil
 	}
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -15,8 +15,8 @@
 	current  *peer.Voters
 }
 
-func newLog(voters []uint64, snapshot *peer.Snapshot, entries []*peer.Entry) log {
-	l := log{initial: &peer.Voters{Ids: voters}, snapshot: snapshot, entries: entries}
+func newLog(initial *peer.Voters, snapshot *peer.Snapshot, entries []*peer.Entry) log {
+	l := log{initial: initial, snapshot: snapshot, entries: entries}
 	l.findVoters()
 	return l
 }
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -58,11 +58,14 @@
 
 // Config is what a node needs to know about itself.
 type Config struct {
-	ID     uint64
+	ID uint64
+	// Voters is the first voter set, empty for a replica that is added later.
 	Voters []uint64
-	Timing Timing
-	Rand   *rand.Rand
-	Guards Guards
+	// Replicas says where the first voters are reached, if settings do not.
+	Replicas []*peer.Replica
+	Timing   Timing
+	Rand     *rand.Rand
+	Guards   Guards
 }
 
 // Restored is what a voter's folder held when it started.
@@ -108,7 +111,9 @@
 	stored  uint64
 	started time.Duration
 	heard   time.Duration
-	timeout time.Duration
+	// lastLeader is when a leader was last heard; campaigns do not move it.
+	lastLeader time.Duration
+	timeout    time.Duration
 	// promise is the time before which this voter helps elect nobody. It
 	// outlives changes of role and term.
 	promise time.Duration
@@ -130,7 +135,7 @@
 // New returns the node for a voter that starts at now with what its folder held.
 func New(config Config, restored Restored, now time.Duration) *Node {
 	n := &Node{config: config, started: now, heard: now}
-	n.log = newLog(config.Voters, restored.Snapshot, restored.Entries)
+	n.log = newLog(&peer.Voters{Ids: config.Voters, Replicas: config.Replicas}, restored.Snapshot, restored.Entries)
 	n.term = restored.Hard.GetTerm()
 	n.vote = restored.Hard.GetVote()
 	n.commit = restored.Snapshot.GetIndex()
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -68,6 +68,7 @@
 func (n *Node) hearLeader(now time.Duration, m *peer.Message) {
 	n.follow(m.Term, m.From)
 	n.heard = now
+	n.lastLeader = now
 	n.promise = max(n.promise, now+n.config.Timing.Promise)
 }
 
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,261 @@
+// Package roster keeps what targets say of themselves: which run, where, for
+// which service, and which are leaving.
+//
+// It owns the order of what is said. Rows are soft state that any number of
+// instances merge in any order and end up with the same: the newest birth owns
+// an id and an address, a later sequence number wins within a birth, and a birth
+// that has left never comes back. Silence alone removes nothing. A Roster has a
+// lock of its own; a Snapshot is immutable.
+//
+// # Usage
+//
+//	r := roster.New(now)
+//	changed := r.Merge(row)
+//	for _, t := range r.Snapshot().Service("rider-reading") { ... }
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"auburnscale/peer"
+)
+
+const (
+	// maxRows bounds the rows; a fleet of the size to design for has 620.
+	maxRows = 4096
+	// forgetAfter is how long a target that left is remembered. It exceeds any
+	// delay of a heartbeat by far.
+	forgetAfter = 10 * time.Minute
+)
+
+// A Roster represents the rows that one instance knows.
+type Roster struct {
+	now func() time.Duration
+	// silence is the time without a word after which a target counts as silent.
+	silence time.Duration
+
+	mutex    sync.Mutex
+	entries  map[string]*entry
+	revision uint64
+	changed  chan struct{}
+	snapshot atomic.Pointer[Snapshot]
+}
+
+type entry struct {
+	row *peer.TargetRow
+	// heard is when any instance heard the target, as far as this one knows.
+	heard time.Duration
+}
+
+// New returns an empty roster on the clock.
+func New(now func() time.Duration, silence time.Duration) *Roster {
+	r := &Roster{now: now, silence: silence, entries: map[string]*entry{}, changed: make(chan struct{})}
+	r.snapshot.Store(newSnapshot(0, nil))
+	return r
+}
+
+// Hear merges what a target said to this instance just now. It returns false if
+// it is outdated.
+func (r *Roster) Hear(row *peer.TargetRow) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.entries[row.Id]
+	if known != nil && row.BornMs == 0 {
+		row.BornMs = known.row.BornMs
+	}
+	if known != nil && row.BornMs == known.row.BornMs && row.Seq <= known.row.Seq && row.State != peer.TargetRow_GONE {
+		return false
+	}
+	before := r.revision
+	r.merge(row, 0)
+	r.publish(before)
+	return true
+}
+
+// Merge merges rows that another instance knows.
+func (r *Roster) Merge(rows []*peer.TargetRow) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	before := r.revision
+	for _, row := range rows {
+		r.merge(row, time.Duration(row.AgeMs)*time.Millisecond)
+	}
+	r.publish(before)
+}
+
+// Tick notes which targets have fallen silent and forgets those long gone.
+func (r *Roster) Tick() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	before := r.revision
+	now := r.now()
+	for id, e := range r.entries {
+		if e.row.State == peer.TargetRow_GONE {
+			if now-e.heard > forgetAfter {
+				delete(r.entries, id)
+			}
+			continue
+		}
+		if silent := now-e.heard > r.silence; silent != e.row.Silent {
+			r.set(e, func(row *peer.TargetRow) { row.Silent = silent })
+		}
+	}
+	r.publish(before)
+}
+
+// merge applies one row that was heard the age ago.
+func (r *Roster) merge(row *peer.TargetRow, age time.Duration) {
+	heard := r.now() - age
+	known := r.entries[row.Id]
+	if known == nil {
+		r.insert(row, heard)
+		return
+	}
+	if row.State == peer.TargetRow_GONE && row.BornMs == 0 {
+		r.leaveUnborn(known, row, heard)
+		return
+	}
+	if known.row.State == peer.TargetRow_GONE && known.row.BornMs == 0 && heard <= known.heard {
+		r.set(known, func(o *peer.TargetRow) { o.BornMs, o.Address = row.BornMs, row.Address })
+		return
+	}
+	order := compare(row, known.row)
+	if order == 0 || sameBirth(row, known.row) && row.State == known.row.State {
+		r.refresh(known, row, heard)
+		return
+	}
+	if order < 0 {
+		return
+	}
+	r.insert(row, heard)
+}
+
+// leaveUnborn applies a word of leaving that names no birth. It holds for what
+// was heard before it.
+func (r *Roster) leaveUnborn(known *entry, row *peer.TargetRow, heard time.Duration) {
+	if heard < known.heard || known.row.State == peer.TargetRow_GONE {
+		return
+	}
+	known.heard = heard
+	r.set(known, func(o *peer.TargetRow) { o.State, o.Silent = peer.TargetRow_GONE, false })
+}
+
+// refresh takes the later of two rows that say the same, without a change of
+// the revision unless something else in the row differs.
+func (r *Roster) refresh(known *entry, row *peer.TargetRow, heard time.Duration) {
+	known.heard = max(known.heard, heard)
+	if row.Seq <= known.row.Seq {
+		return
+	}
+	if differs(known.row, row) {
+		r.insert(row, known.heard)
+		return
+	}
+	next := proto.Clone(known.row).(*peer.TargetRow)
+	next.Seq = row.Seq
+	known.row = next
+}
+
+func differs(a, b *peer.TargetRow) bool {
+	return a.Service != b.Service || a.Address != b.Address || a.Domain != b.Domain || a.Slots != b.Slots ||
+		a.Stage != b.Stage || a.Reclaimable != b.Reclaimable || (a.ColdMs > 0) != (b.ColdMs > 0)
+}
+
+func (r *Roster) insert(row *peer.TargetRow, heard time.Duration) {
+	if len(r.entries) >= maxRows && r.entries[row.Id] == nil {
+		return
+	}
+	next := proto.Clone(row).(*peer.TargetRow)
+	next.AgeMs = 0
+	next.Silent = next.State != peer.TargetRow_GONE && r.now()-heard > r.silence
+	if known := r.entries[row.Id]; known != nil && next.Address == "" {
+		next = inherit(next, known.row)
+	}
+	r.entries[row.Id] = &entry{row: next, heard: heard}
+	r.revision++
+	if next.State != peer.TargetRow_GONE {
+		r.supersede(next)
+	}
+}
+
+// inherit fills a word of leaving, which names nothing but the id.
+func inherit(row, known *peer.TargetRow) *peer.TargetRow {
+	next := proto.Clone(known).(*peer.TargetRow)
+	next.State, next.Seq, next.BornMs, next.Silent = row.State, max(row.Seq, known.Seq), max(row.BornMs, known.BornMs), false
+	return next
+}
+
+// supersede marks as gone whoever had the address before, or the row itself if
+// the address has a newer owner.
+func (r *Roster) supersede(row *peer.TargetRow) {
+	for id, other := range r.entries {
+		if id == row.Id || other.row.Address != row.Address || other.row.State == peer.TargetRow_GONE {
+			continue
+		}
+		older := other
+		if other.row.BornMs > row.BornMs {
+			older = r.entries[row.Id]
+		}
+		r.set(older, func(o *peer.TargetRow) { o.State = peer.TargetRow_GONE })
+	}
+}
+
+func (r *Roster) set(e *entry, change func(*peer.TargetRow)) {
+	next := proto.Clone(e.row).(*peer.TargetRow)
+	change(next)
+	e.row = next
+	r.revision++
+}
+
+func sameBirth(a, b *peer.TargetRow) bool { return a.BornMs == b.BornMs }
+
+// compare orders two rows of an id: a later birth first, then a later state,
+// since nothing that leaves comes back within a birth.
+func compare(a, b *peer.TargetRow) int {
+	return cmp.Or(cmp.Compare(a.BornMs, b.BornMs), cmp.Compare(a.State, b.State), cmp.Compare(a.Seq, b.Seq))
+}
+
+// publish makes the rows visible if anything changed since the revision.
+func (r *Roster) publish(before uint64) {
+	if r.revision == before {
+		return
+	}
+	var rows []*peer.TargetRow
+	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
+		rows = append(rows, r.entries[id].row)
+	}
+	r.snapshot.Store(newSnapshot(r.revision, rows))
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Snapshot returns the rows as last published.
+func (r *Roster) Snapshot() *Snapshot { return r.snapshot.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (r *Roster) Changed() <-chan struct{} {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.changed
+}
+
+// Rows returns copies of all rows with their ages.
+func (r *Roster) Rows() []*peer.TargetRow {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
+	var rows []*peer.TargetRow
+	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
+		row := proto.Clone(r.entries[id].row).(*peer.TargetRow)
+		row.AgeMs = max(0, (now - r.entries[id].heard).Milliseconds())
+		rows = append(rows, row)
+	}
+	return rows
+}
--- /dev/null
+++ b/route/plan.go
@@ -0,0 +1,206 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A Prompt represents what placement needs to know of a request's prompt.
+type Prompt struct {
+	// Pieces are chained hashes of the parts that other requests may share, and
+	// Tokens the length of the prompt up to the end of each.
+	Pieces []uint64
+	Tokens []int64
+	// Total is the length of the whole prompt.
+	Total int64
+}
+
+// A Placement represents where a request goes.
+type Placement struct {
+	// Runner makes the answer.
+	Runner *Target
+	// Reader, if not nil, reads the prompt first and hands its cache over.
+	Reader *Target
+	// First is the estimated time to the first event.
+	First time.Duration
+	// Work is the tokens of prompt that are still to be read, by whoever reads.
+	Work int64
+}
+
+// A Placer represents the choice of targets over a whole fleet. It compares
+// every target, which suits fleets of some hundreds.
+type Placer struct {
+	// HandOver is what moving a prompt's cache between targets costs.
+	HandOver time.Duration
+	// Remote is what a target of another failure domain costs.
+	Remote time.Duration
+}
+
+const (
+	// mixedRate is the speed, relative to a reader, at which a target reads
+	// prompts between the output of other requests.
+	mixedRate = 0.5
+	// readRate is the tokens a second that a reader is taken to read until it
+	// is known better.
+	readRate = 45_000
+	// homeTrust is the part of a prompt that the target on which all instances
+	// agree is taken to hold, though this instance has not seen it there.
+	homeTrust = 0.8
+	// silentCost is what a target that nobody has heard lately costs.
+	silentCost = 400 * time.Millisecond
+	// crowdCost is what a full batch costs the requests in it.
+	crowdCost = 150 * time.Millisecond
+	// reportLife is how long a target's word on its load is of use.
+	reportLife = 500 * time.Millisecond
+	// meanRead is the tokens of a prompt that is being read elsewhere.
+	meanRead = 3000
+)
+
+// Place returns where a request with the prompt goes. The avoided targets get it
+// only if it returns nil otherwise.
+func (p Placer) Place(f *Fleet, prompt Prompt, avoid []string, now time.Time) Placement {
+	best := p.Direct(f, prompt, avoid, now)
+	if prompt.Total == 0 || best.Runner == nil {
+		return best
+	}
+	runner := p.lightest(f, avoid, now)
+	home := f.home(prompt, func(t *Target) bool { return !t.Runs() })
+	for _, t := range f.targets {
+		if !t.Runs() && !slices.Contains(avoid, t.name) {
+			best = sooner(best, p.handedOver(f, t, runner, prompt, t == home, now))
+		}
+	}
+	return best
+}
+
+// Direct returns the target that does all of the request.
+func (p Placer) Direct(f *Fleet, prompt Prompt, avoid []string, now time.Time) Placement {
+	best := Placement{}
+	home := f.home(prompt, func(t *Target) bool { return t.Runs() })
+	for _, t := range f.targets {
+		if t.Runs() && !slices.Contains(avoid, t.name) {
+			best = sooner(best, p.direct(f, t, prompt, t == home, now))
+		}
+	}
+	return best
+}
+
+func sooner(a, b Placement) Placement {
+	if a.Runner == nil || b.First < a.First {
+		return b
+	}
+	return a
+}
+
+func (p Placer) direct(f *Fleet, t *Target, prompt Prompt, home bool, now time.Time) Placement {
+	work := f.unread(t, prompt, home)
+	rate := readRate * mixedRate
+	first := readTime(t.backlog(now)+work, rate) + p.presence(f, t, now)
+	return Placement{Runner: t, First: first, Work: work}
+}
+
+func (p Placer) handedOver(f *Fleet, reader, runner *Target, prompt Prompt, home bool, now time.Time) Placement {
+	work := f.unread(reader, prompt, home)
+	first := readTime(reader.backlog(now)+work, readRate) + p.HandOver + p.presence(f, runner, now)
+	if reader.domain != runner.domain {
+		first += p.Remote
+	}
+	if reader.Silent() {
+		first += silentCost
+	}
+	return Placement{Runner: runner, Reader: reader, First: first, Work: work}
+}
+
+// lightest returns the runner with the least to do.
+func (p Placer) lightest(f *Fleet, avoid []string, now time.Time) *Target {
+	var best *Target
+	var cost time.Duration
+	for _, t := range f.targets {
+		if !t.Runs() || slices.Contains(avoid, t.name) {
+			continue
+		}
+		if c := readTime(t.backlog(now), readRate*mixedRate) + p.presence(f, t, now); best == nil || c < cost {
+			best, cost = t, c
+		}
+	}
+	return best
+}
+
+// presence is what it costs to be one more on the target.
+func (p Placer) presence(f *Fleet, t *Target, now time.Time) time.Duration {
+	crowd := float64(t.crowd(now)) / float64(max(1, t.slots))
+	cost := time.Duration(crowd * float64(crowdCost))
+	if crowd >= 1 {
+		cost += time.Duration((crowd - 1) * float64(time.Second))
+	}
+	if t.domain != f.domain {
+		cost += p.Remote
+	}
+	if t.Silent() {
+		cost += silentCost
+	}
+	return cost + t.startLeft()
+}
+
+func readTime(tokens int64, rate float64) time.Duration {
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
+}
+
+// unread returns the tokens of the prompt that the target would still read.
+func (f *Fleet) unread(t *Target, prompt Prompt, home bool) int64 {
+	depth := f.index.Depth(t, prompt.Pieces)
+	cached := int64(0)
+	if depth > 0 {
+		cached = prompt.Tokens[depth-1]
+	}
+	if n := len(prompt.Tokens); home && n > 0 {
+		cached = max(cached, int64(homeTrust*float64(prompt.Tokens[n-1])))
+	}
+	return max(0, prompt.Total-cached)
+}
+
+// home returns the target of a kind that all instances agree on for the shared
+// part of a prompt (rendezvous hashing: few prompts move when a target comes or
+// goes).
+func (f *Fleet) home(prompt Prompt, of func(*Target) bool) *Target {
+	if len(prompt.Pieces) == 0 {
+		return nil
+	}
+	key := prompt.Pieces[len(prompt.Pieces)-1]
+	var best *Target
+	var most uint64
+	for _, t := range f.targets {
+		if !of(t) {
+			continue
+		}
+		if rank := mix(t.hash ^ key); best == nil || rank > most {
+			best, most = t, rank
+		}
+	}
+	return best
+}
+
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
+
+// mix spreads the bits of a number (the finalizer of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Depth returns how many leading pieces the target is thought to hold.
+func (x *PrefixIndex) Depth(t *Target, pieces []uint64) int {
+	x.mutex.RLock()
+	defer x.mutex.RUnlock()
+	for i, piece := range pieces {
+		if !slices.Contains(x.lookup(piece), t) {
+			return i
+		}
+	}
+	return len(pieces)
+}
--- a/route/target.go
+++ b/route/target.go
@@ -27,6 +27,11 @@
 	slots   int
 	cheap   bool
 	cost    int64
+	stage   Stage
+	hash    uint64
+	warmAt  time.Time
+
+	silent atomic.Bool
 
 	inFlight atomic.Int64
 	work     atomic.Int64
@@ -60,11 +65,27 @@
 	Cheap         bool
 	// TokenCost is the price of a thousand tokens in millionths of the currency.
 	TokenCost int64
+	// Stage says what part of a request the target does.
+	Stage Stage
+	// WarmAt is when the target is no longer slow after its start.
+	WarmAt time.Time
 }
 
+// A Stage says what part of a request a target does.
+type Stage int
+
+// The stages of a target.
+const (
+	// Whole targets do all of a request.
+	Whole Stage = iota
+	// Reading targets only read prompts and hand their cache over.
+	Reading
+)
+
 // NewTarget returns a target without a report.
 func NewTarget(s Spec) *Target {
-	return &Target{name: s.Name, address: s.Address, domain: s.FailureDomain, slots: s.Slots, cheap: s.Cheap, cost: s.TokenCost}
+	return &Target{name: s.Name, address: s.Address, domain: s.FailureDomain, slots: s.Slots, cheap: s.Cheap, cost: s.TokenCost,
+		stage: s.Stage, warmAt: s.WarmAt, hash: hashName(s.Name)}
 }
 
 // Name returns the target's name.
@@ -82,6 +103,47 @@
 // TokenCost returns the price of a thousand tokens in millionths.
 func (t *Target) TokenCost() int64 { return t.cost }
 
+// Runs reports whether the target makes answers itself.
+func (t *Target) Runs() bool { return t.stage == Whole }
+
+// Cheap reports whether the target can be reclaimed at short notice.
+func (t *Target) Cheap() bool { return t.cheap }
+
+// SetSilent notes whether anyone has heard the target lately.
+func (t *Target) SetSilent(silent bool) { t.silent.Store(silent) }
+
+// Silent reports whether nobody has heard the target lately.
+func (t *Target) Silent() bool { return t.silent.Load() }
+
+// startLeft returns how much longer the target is slow after its start.
+func (t *Target) startLeft() time.Duration {
+	if t.warmAt.IsZero() {
+		return 0
+	}
+	return max(0, time.Until(t.warmAt))
+}
+
+// crowd estimates the requests on the target, of all instances.
+func (t *Target) crowd(now time.Time) int64 {
+	own := t.inFlight.Load()
+	r := t.report.Load()
+	if r == nil || now.Sub(r.at) > reportLife {
+		return own * max(1, t.sharers.Load())
+	}
+	return max(own, int64(r.running+r.waiting)+own-r.ownInFlight)
+}
+
+// backlog estimates the prompt tokens that the target reads before a new one.
+// What others have sent to a reader shows in the number of its requests; on a
+// target that also makes answers most of those are past their prompts.
+func (t *Target) backlog(now time.Time) int64 {
+	own := t.work.Load()
+	if t.Runs() {
+		return own
+	}
+	return own + max(0, t.crowd(now)-t.inFlight.Load())*meanRead
+}
+
 // Begin counts a request with so many prompt tokens to prefill as in flight.
 func (t *Target) Begin(work int64) {
 	t.inFlight.Add(1)
@@ -208,6 +270,7 @@
 // the targets' counters.
 type Fleet struct {
 	targets []*Target
+	domain  string
 	local   []*Target
 	remote  []*Target
 	index   *PrefixIndex
@@ -215,7 +278,7 @@
 
 // NewFleet returns the fleet of the targets as seen from a failure domain.
 func NewFleet(targets []*Target, domain string, index *PrefixIndex) *Fleet {
-	f := &Fleet{targets: targets, index: index}
+	f := &Fleet{targets: targets, domain: domain, index: index}
 	for _, t := range targets {
 		if t.domain == domain {
 			f.local = append(f.local, t)
--- /dev/null
+++ b/serve/control.go
@@ -0,0 +1,312 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnscale/authority"
+	"auburnscale/bind"
+	"auburnscale/catalog"
+	"auburnscale/clock"
+	"auburnscale/control"
+	"auburnscale/event"
+	"auburnscale/link"
+	"auburnscale/peer"
+	"auburnscale/platform"
+	"auburnscale/quorum"
+	"auburnscale/replica"
+	"auburnscale/roster"
+	"auburnscale/settings"
+	"auburnscale/storage"
+	"auburnscale/voter"
+	"auburnscale/watch"
+)
+
+const (
+	// silentHeartbeats is the number of missed heartbeats after which a target
+	// counts as silent. One may be a second late and go to a second address.
+	silentHeartbeats = 4
+	// compactEntries bounds the log between snapshots. Entries can hold whole
+	// configurations of some hundred kilobytes.
+	compactEntries = 64
+	rosterTick     = 500 * time.Millisecond
+	// answerLimit is below the second that operators wait for an answer.
+	answerLimit = 900 * time.Millisecond
+	usageKind   = control.UsageIntent
+	// brokenPause keeps a process whose disk fails from starting over and over.
+	brokenPause = time.Second
+)
+
+// A Control represents a running control instance.
+type Control struct {
+	settings    settings.Settings
+	logger      *event.Logger
+	incarnation string
+	outgoing    outgoing
+
+	folder    *storage.Folder
+	senders   *link.Senders
+	voter     *voter.Voter
+	roster    *roster.Roster
+	keeper    *replica.Keeper
+	watching  *watch.Server
+	watcher   *watch.Client
+	meter     *authority.Meter
+	inner     *link.Server
+	operators *http.Server
+	listener  net.Listener
+	failed    chan error
+	stopped   chan struct{}
+}
+
+// NewControl opens the data folder and the listeners.
+func NewControl(s settings.Settings, logger *event.Logger) (*Control, error) {
+	out, err := newOutgoing(s)
+	if err != nil {
+		return nil, err
+	}
+	c := &Control{
+		settings: s, logger: logger, incarnation: newIncarnation(), outgoing: out,
+		failed: make(chan error, 4), stopped: make(chan struct{}),
+	}
+	identity, err := c.openFolder()
+	if err != nil {
+		return nil, err
+	}
+	c.build(identity)
+	return c, c.listen()
+}
+
+func (c *Control) openFolder() (*peer.Identity, error) {
+	f := c.settings.Fleet
+	var err error
+	if c.folder, err = storage.Open(f.DataFolder); err != nil {
+		return nil, err
+	}
+	identity, isNew, err := replica.Identify(c.folder, replica.Start{
+		Address: ownPeerAddress(f), Domain: c.settings.FailureDomain, Founders: seedAddresses(f), Found: f.Found,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if isNew {
+		c.logger.Log(event.ReplicaFounded, zap.Uint64("voter", identity.Self.Id), zap.Bool("founder", identity.Founders != nil))
+	}
+	return identity, nil
+}
+
+func (c *Control) build(identity *peer.Identity) {
+	f := c.settings.Fleet
+	founders := identity.Founders
+	self := &peer.Replica{Id: identity.Self.Id, Address: ownPeerAddress(f), Domain: c.settings.FailureDomain}
+	c.senders = link.NewSenders(c.outgoing.client, replica.Addresses(founders), self.Id)
+	c.voter = voter.New(voter.Config{
+		ID: self.Id, InitialVoters: founders.GetIds(), Replicas: founders.GetReplicas(), Timing: quorum.DefaultTiming,
+		Limits:      control.Limits{ClaimRetain: c.settings.Control.ClaimRetain.Span()},
+		Incarnation: c.incarnation, Seed: uint64(clock.Now()), CompactEntries: compactEntries,
+	}, c.folder, c.senders, c.logger)
+	c.roster = roster.New(clock.Now, silentHeartbeats*f.Announce.Span())
+	c.watching = watch.NewServer(c.incarnation, c.voter, c.roster)
+	c.watcher = watch.NewClient(self.Address, c.outgoing.client, c, c.logger)
+	c.keeper = replica.New(replica.Config{Self: self, Want: 2*f.Losses + 1, Known: c.watcher.Addresses}, c.voter, c.senders, c.outgoing.client, c.logger)
+	c.buildMeter()
+}
+
+func (c *Control) buildMeter() {
+	f := c.settings.Fleet
+	if f.Platform == "" || !slices.Contains(f.Duties, settings.UsageDuty) {
+		return
+	}
+	client := platform.NewDutyClient(c.outgoing.dialer, f.Platform, c.settings.Instance)
+	a := authority.New(c.voter, map[string]authority.Sender{usageKind: usageSender{client}}, c.logger)
+	c.meter = authority.NewMeter(authority.MeterConfig{
+		Window: f.UsageWindow.Span(), Late: f.UsageLate.Span(), Lease: f.Lease.Span(), Encode: platform.EncodeUsage, Kind: usageKind,
+	}, a, c.watching, c.logger)
+}
+
+type usageSender struct{ client *platform.DutyClient }
+
+// Send reports the usage that was committed.
+func (s usageSender) Send(ctx context.Context, _ string, epoch uint64, payload []byte) (int, string, error) {
+	return s.client.ReportUsage(ctx, epoch, payload)
+}
+
+func (c *Control) listen() error {
+	f := c.settings.Fleet
+	key, err := fleetKey(c.settings)
+	if err != nil {
+		return err
+	}
+	c.inner, err = link.Listen(ownPeerAddress(f), link.Handler(key, &controlServer{NewVoterServer(c.voter, nil).(*peerServer), c}), nil)
+	if err != nil {
+		return fmt.Errorf("listen for instances: %w", err)
+	}
+	c.listener, err = bind.Listen(f.Operators)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	c.operators = &http.Server{Handler: platform.ControlHandler(c), ReadHeaderTimeout: metricsTimeout, ErrorLog: c.logger.Standard()}
+	return nil
+}
+
+// Run serves until the context ends.
+func (c *Control) Run(ctx context.Context) error {
+	c.voter.Start()
+	c.keeper.Start()
+	c.watcher.SetSeeds(seedAddresses(c.settings.Fleet))
+	go c.runInner()
+	go c.runOperators()
+	go c.runRoster()
+	if c.meter != nil {
+		c.meter.Start()
+	}
+	c.logger.Log(event.Started, zap.String("incarnation", c.incarnation), zap.String("operators", c.settings.Fleet.Operators), zap.Uint64("voter", c.voter.ID()))
+	select {
+	case <-ctx.Done():
+		c.stop()
+		return nil
+	case <-c.voter.Broken():
+		time.Sleep(brokenPause)
+		return errors.New("the data folder cannot be written")
+	case err := <-c.failed:
+		c.logger.Log(event.ListenerFailed, zap.Error(err))
+		return err
+	}
+}
+
+func (c *Control) runInner()     { c.failed <- c.inner.Serve() }
+func (c *Control) runOperators() { c.failed <- c.operators.Serve(c.listener) }
+
+func (c *Control) runRoster() {
+	ticker := time.NewTicker(rosterTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.stopped:
+			return
+		case <-ticker.C:
+			c.roster.Tick()
+		}
+	}
+}
+
+func (c *Control) stop() {
+	c.logger.Log(event.Stopping)
+	close(c.stopped)
+	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
+	defer cancel()
+	// Calls that are being answered finish; later ones go to other instances.
+	_ = c.operators.Shutdown(ctx)
+	if c.meter != nil {
+		c.meter.Stop()
+	}
+	c.keeper.Stop()
+	c.watcher.Stop()
+	c.voter.Stop()
+	c.senders.Close()
+	c.folder.Close()
+	_ = c.inner.Close()
+	c.logger.Log(event.Stopped)
+}
+
+// Reload takes over what may change while the process runs.
+func (c *Control) Reload(s settings.Settings) {
+	c.watcher.SetSeeds(seedAddresses(s.Fleet))
+	c.logger.Log(event.SettingsReloaded, zap.Strings("seeds", s.Fleet.Seeds))
+}
+
+// Hear merges what a target says of itself.
+func (c *Control) Hear(row *peer.TargetRow) bool {
+	before := c.roster.Snapshot().Target(row.Id)
+	taken := c.roster.Hear(row)
+	if after := c.roster.Snapshot().Target(row.Id); after.GetState() != before.GetState() || after.GetBornMs() != before.GetBornMs() || after.GetStage() != before.GetStage() {
+		c.logger.Log(event.TargetHeard, zap.String("target", row.Id), zap.String("service", after.GetService()), zap.String("address", after.GetAddress()),
+			zap.Stringer("state", after.GetState()), zap.Stringer("stage", after.GetStage()), zap.Int64("born_ms", after.GetBornMs()), zap.Uint64("seq", row.Seq))
+	}
+	return taken
+}
+
+// Replace checks a configuration document and commits it.
+func (c *Control) Replace(ctx context.Context, document []byte) error {
+	configuration, err := platform.DecodeConfiguration(document)
+	if err == nil {
+		_, findings := catalog.New(configuration)
+		err = findings.Err()
+	}
+	if err != nil {
+		c.logger.Log(event.DocumentRefused, zap.Uint64("version", configuration.Version), zap.Error(err))
+		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	result, err := c.keeper.Propose(ctx, &peer.Command{Actor: c.settings.Instance, Body: &peer.Command_Replace{
+		Replace: &peer.ReplaceDocument{Version: configuration.Version, Body: document},
+	}})
+	if err != nil {
+		return err
+	}
+	if result.Code != peer.Result_OK {
+		return fmt.Errorf("the configuration was not committed: %s", result.Detail)
+	}
+	c.logger.Log(event.DocumentAccepted, zap.Uint64("version", configuration.Version), zap.Uint64("in_force", result.Version))
+	return nil
+}
+
+var errNoDocument = errors.New("there is no configuration yet")
+
+// Current returns the configuration document in force.
+func (c *Control) Current(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	document, err := c.keeper.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if document == nil {
+		return nil, errNoDocument
+	}
+	return document.Body, nil
+}
+
+// Request is what this instance tells the control instances that it watches.
+func (c *Control) Request() *peer.WatchRequest {
+	return &peer.WatchRequest{
+		Instance: c.settings.Instance, Incarnation: c.incarnation, Domain: c.settings.FailureDomain, Control: true,
+		Version: ^uint64(0), WallMs: time.Now().UnixMilli(),
+	}
+}
+
+// Take merges the targets that another control instance knows. Configurations
+// come through the log only.
+func (c *Control) Take(answer *peer.WatchResponse) { c.roster.Merge(answer.Rows) }
+
+// controlServer answers the inner protocol.
+type controlServer struct {
+	*peerServer
+	control *Control
+}
+
+// Watch answers an instance's long poll.
+func (s *controlServer) Watch(ctx context.Context, request *peer.WatchRequest) (*peer.WatchResponse, error) {
+	return s.control.watching.Watch(ctx, request), nil
+}
+
+// Enrol takes a replica's application.
+func (s *controlServer) Enrol(_ context.Context, request *peer.EnrolRequest) (*peer.EnrolResponse, error) {
+	if request.Replica.GetId() == 0 || request.Replica.Address == "" {
+		return nil, errNoReplica
+	}
+	return s.control.keeper.Enrol(request), nil
+}
+
+// Current answers another control instance that was asked for the configuration.
+func (s *controlServer) Current(context.Context, *peer.CurrentRequest) (*peer.CurrentResponse, error) {
+	return s.control.keeper.Local(), nil
+}
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"net/http"
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
@@ -15,6 +16,11 @@
 // newMetrics returns the process's root scope and the handler that shows it in
 // the Prometheus text form.
 func newMetrics(instance string) (tally.Scope, fasthttp.RequestHandler) {
+	scope, handler := newFleetMetrics(instance)
+	return scope, fasthttpadaptor.NewFastHTTPHandler(handler)
+}
+
+func newFleetMetrics(instance string) (tally.Scope, http.Handler) {
 	registry := client.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
@@ -22,5 +28,5 @@
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, metricsInterval)
-	return scope, fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler())
+	return scope, reporter.HTTPHandler()
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -32,6 +32,10 @@
 	if s.FailureDomain == "" {
 		list.Add(path, "failure_domain", "is missing")
 	}
+	if s.Fleet.Enabled() {
+		s.Fleet.check(path, list)
+		return
+	}
 	checkAddress(path, "listen.caller", s.Listen.Caller, list)
 	checkAddress(path, "listen.peer", s.Listen.Peer, list)
 	checkAddress(path, "listen.operator", s.Listen.Operator, list)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -48,6 +48,7 @@
 	Caller        Caller   `toml:"caller"`
 	Control       Control  `toml:"control"`
 	Policy        Policy   `toml:"policy"`
+	Fleet         Fleet    `toml:"fleet"`
 }
 
 // Listen holds the listening addresses. All are an IP number and a port.
@@ -122,6 +123,41 @@
 	RetryShare float64 `toml:"retry_share" doc:"retries allowed per request of a workspace over time"`
 }
 
+// Fleet holds what an instance of a fleet that finds itself needs: instances
+// know a few control instances at the start and learn of the others.
+type Fleet struct {
+	Address     string   `toml:"address" doc:"IP number of this instance; empty where settings name every voter"`
+	PeerPort    uint16   `toml:"peer_port" doc:"port for other instances, the same on all of them"`
+	Seeds       []string `toml:"seeds" doc:"addresses of some control instances, as operators reach them"`
+	Found       bool     `toml:"found" doc:"true only at the first start of the whole system, with empty data folders"`
+	Requests    string   `toml:"requests" doc:"address for routed requests (entry role)"`
+	Readiness   string   `toml:"readiness" doc:"address that tells whether the instance takes new connections (entry role)"`
+	Operators   string   `toml:"operators" doc:"address for operators and for targets that announce themselves (control role)"`
+	Metrics     string   `toml:"metrics" doc:"address for metrics; empty for none"`
+	DataFolder  string   `toml:"data_folder" doc:"folder for the log and snapshot (control role)"`
+	Memory      int      `toml:"memory_mb" doc:"memory limit of the process in megabytes"`
+	Descriptors int      `toml:"descriptors" doc:"most open files and connections"`
+	Losses      int      `toml:"losses" doc:"data folders that may be lost at once without losing what was acknowledged"`
+	Domains     []string `toml:"domains" doc:"all failure domains"`
+	Announce    Duration `toml:"announce" doc:"time between two heartbeats of a target"`
+	Contact     Duration `toml:"contact" doc:"time after a fault within which instances find each other again"`
+	Drain       Duration `toml:"drain" doc:"time after which a leaving target gets no new request"`
+	Grace       Duration `toml:"grace" doc:"time from the request to stop to the kill"`
+	Effect      Duration `toml:"effect" doc:"time after which an accepted configuration is in force everywhere"`
+	Lease       Duration `toml:"lease" doc:"time between the outward acts of two different holders"`
+	UsageWindow Duration `toml:"usage_window" doc:"length of a usage window"`
+	UsageLate   Duration `toml:"usage_late" doc:"time after a window's end by which its usage is due"`
+	RetryRatio  float64  `toml:"retry_ratio" doc:"repeats allowed per request of a service, over the whole fleet"`
+	RetrySlack  float64  `toml:"retry_slack" doc:"repeats allowed beyond the ratio in one window, over the whole fleet"`
+	RetryWindow Duration `toml:"retry_window" doc:"length of the window that repeats are counted in"`
+	Fenced      bool     `toml:"fenced" doc:"true if targets and the platform refuse an older fencing number"`
+	Platform    string   `toml:"platform" doc:"address of the platform's interface; empty if there is none"`
+	Duties      []string `toml:"duties" doc:"what the platform expects of the control leader: report_usage, order_targets"`
+}
+
+// Enabled reports whether the process belongs to a fleet that finds itself.
+func (f Fleet) Enabled() bool { return f.Address != "" }
+
 // Default returns the settings that hold where a file says nothing.
 func Default() Settings {
 	return Settings{
@@ -136,6 +172,13 @@
 			ProbeInterval: Duration(500 * time.Millisecond), ClaimRetain: Duration(24 * time.Hour),
 			DrainNotice: Duration(2 * time.Second), StopLimit: Duration(2 * time.Minute),
 		},
+		Fleet: Fleet{
+			Memory: 256, Descriptors: 4096, Losses: 1,
+			Announce: Duration(time.Second), Contact: Duration(3 * time.Second), Drain: Duration(2 * time.Second),
+			Grace: Duration(8 * time.Second), Effect: Duration(2 * time.Second), Lease: Duration(3 * time.Second),
+			UsageWindow: Duration(5 * time.Second), UsageLate: Duration(10 * time.Second),
+			RetryRatio: 0.2, RetryWindow: Duration(10 * time.Second),
+		},
 		Policy: Policy{Routing: "affinity", Admission: "fair", Retries: "budget", Hot: 1.5, RetryShare: 0.1},
 	}
 }
--- a/storage/folder.go
+++ b/storage/folder.go
@@ -5,8 +5,8 @@
 // because what the disk then holds is unknown. It must not import quorum or
 // control: it stores their messages and does not interpret them.
 //
-// Files: "lock" (held for the life of the process), "log" (records) and
-// "snapshot" (one record). A record is a header of three little-endian 32-bit
+// Files: "lock" (held for the life of the process), "identity" (one record),
+// "log" (records) and "snapshot" (one record). A record is a header of three little-endian 32-bit
 // words (payload length, payload checksum, checksum of the first two words) and
 // the payload, a protobuf message. Checksums are CRC-32C.
 //
@@ -33,6 +33,7 @@
 	lockName     = "lock"
 	logName      = "log"
 	snapshotName = "snapshot"
+	identityName = "identity"
 
 	filePermissions   = 0o600
 	folderPermissions = 0o700
@@ -49,6 +50,7 @@
 	hard     *peer.Hard
 	entries  []*peer.Entry
 	snapshot *peer.Snapshot
+	identity *peer.Identity
 }
 
 // Open locks the folder at path, creating it if it is missing, and reads what it
@@ -243,3 +245,20 @@
 	}
 	return data, nil
 }
+
+// Identity returns who the folder belongs to, or nil if it was never used.
+func (f *Folder) Identity() *peer.Identity { return f.identity }
+
+// SaveIdentity stores durably who the folder belongs to. It comes before
+// anything else is stored, so that a folder with content always has one.
+func (f *Folder) SaveIdentity(identity *peer.Identity) error {
+	data, err := appendRecord(nil, identity)
+	if err != nil {
+		return err
+	}
+	if err := f.replace(identityName, data); err != nil {
+		return f.fail(err)
+	}
+	f.identity = identity
+	return nil
+}
--- a/storage/record.go
+++ b/storage/record.go
@@ -76,6 +76,9 @@
 	if err := f.loadSnapshot(); err != nil {
 		return err
 	}
+	if err := f.loadIdentity(); err != nil {
+		return err
+	}
 	data, err := os.ReadFile(f.file(logName))
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return fmt.Errorf("read log: %w", err)
@@ -87,6 +90,11 @@
 	if err := f.openLog(); err != nil {
 		return err
 	}
+	// The log may have been created just now; its name must be as durable as
+	// what will be synced into it.
+	if err := f.syncFolder(); err != nil {
+		return f.fail(err)
+	}
 	if good == len(data) {
 		return nil
 	}
@@ -94,22 +102,40 @@
 }
 
 func (f *Folder) loadSnapshot() error {
-	data, err := os.ReadFile(f.file(snapshotName))
+	snapshot := &peer.Snapshot{}
+	found, err := f.loadRecord(snapshotName, snapshot)
+	if found {
+		f.snapshot = snapshot
+	}
+	return err
+}
+
+func (f *Folder) loadIdentity() error {
+	identity := &peer.Identity{}
+	found, err := f.loadRecord(identityName, identity)
+	if found {
+		f.identity = identity
+	}
+	return err
+}
+
+// loadRecord reads a file of one record. It returns false if there is none.
+func (f *Folder) loadRecord(name string, into proto.Message) (bool, error) {
+	data, err := os.ReadFile(f.file(name))
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return fmt.Errorf("read snapshot: %w", err)
+		return false, fmt.Errorf("read %s: %w", name, err)
 	}
 	payload, _, err := decodeRecord(data)
 	if err != nil {
-		return fmt.Errorf("%s: offset 0: %w", f.file(snapshotName), err)
+		return false, fmt.Errorf("%s: offset 0: %w", f.file(name), err)
 	}
-	f.snapshot = &peer.Snapshot{}
-	if err := proto.Unmarshal(payload, f.snapshot); err != nil {
-		return fmt.Errorf("%s: offset 0: %w", f.file(snapshotName), err)
+	if err := proto.Unmarshal(payload, into); err != nil {
+		return false, fmt.Errorf("%s: offset 0: %w", f.file(name), err)
 	}
-	return nil
+	return true, nil
 }
 
 // replay applies the records of data and returns the length of the intact part.
--- a/voter/run.go
+++ b/voter/run.go
@@ -196,8 +196,9 @@
 	lease, held := v.node.LeaseUntil(now)
 	v.standing.Store(&Standing{
 		leader: v.node.Leader(), term: v.node.Term(), commit: v.node.Commit(),
-		leading: held && v.appliedOwnTerm(), lease: v.started.Add(lease),
-		voters: v.node.Voters(), since: v.since,
+		leading: held && v.appliedOwnTerm(), lease: v.started + lease,
+		voters: v.node.Voters(), since: v.since, members: v.node.Members(now),
+		heard: v.started + v.node.Heard(now),
 	})
 }
 
@@ -225,6 +226,9 @@
 // breakDown ends this voter's part: what the disk holds is unknown, so it must
 // neither vote nor acknowledge. The process goes on as an entry instance.
 func (v *Voter) breakDown(err error) {
+	if !v.broken {
+		close(v.failure)
+	}
 	v.broken = true
 	v.log(event.StorageFailed, zap.Error(err))
 	v.failWaiters()
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -26,6 +26,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"auburnscale/clock"
 	"auburnscale/control"
 	"auburnscale/event"
 	"auburnscale/peer"
@@ -43,10 +44,12 @@
 type Config struct {
 	ID            uint64
 	InitialVoters []uint64
-	Timing        quorum.Timing
-	Limits        control.Limits
-	Incarnation   string
-	Seed          uint64
+	// Replicas says where the initial voters are reached, if settings do not.
+	Replicas    []*peer.Replica
+	Timing      quorum.Timing
+	Limits      control.Limits
+	Incarnation string
+	Seed        uint64
 	// CompactEntries is the number of applied entries after which the log is
 	// compacted into a snapshot.
 	CompactEntries uint64
@@ -92,7 +95,10 @@
 	term    uint64
 	commit  uint64
 	leading bool
-	lease   time.Time
+	// lease is the end of the lease on clock.Now.
+	lease   time.Duration
+	members []quorum.MemberStatus
+	heard   time.Duration
 	voters  *peer.Voters
 	since   time.Time
 }
@@ -112,9 +118,16 @@
 // Since returns when this voter became the leader of the term.
 func (s *Standing) Since() time.Time { return s.since }
 
-// MayAct reports whether this voter may act outward at the time: it leads, its
-// lease holds, and it has applied everything committed before its term.
-func (s *Standing) MayAct(at time.Time) bool { return s.leading && at.Before(s.lease) }
+// Silence returns the time since this voter heard a leader, or led.
+func (s *Standing) Silence() time.Duration { return clock.Now() - s.heard }
+
+// Members returns what the leader knows of the other replicas; nil elsewhere.
+func (s *Standing) Members() []quorum.MemberStatus { return s.members }
+
+// MayAct reports whether this voter may act outward at the time of clock.Now: it
+// leads, its lease holds, and it has applied everything committed before its
+// term.
+func (s *Standing) MayAct(at time.Duration) bool { return s.leading && at < s.lease }
 
 // A Voter represents a running voter.
 type Voter struct {
@@ -122,7 +135,7 @@
 	folder  *storage.Folder
 	link    Link
 	logger  *event.Logger
-	started time.Time
+	started time.Duration
 
 	node    *quorum.Node
 	waiters map[uint64]waiter
@@ -145,6 +158,7 @@
 	stop      chan struct{}
 	done      chan struct{}
 	stopOnce  sync.Once
+	failure   chan struct{}
 }
 
 // New returns a voter that goes on from what the folder holds.
@@ -153,11 +167,11 @@
 		config.CompactEntries = defaultCompact
 	}
 	v := &Voter{
-		config: config, folder: folder, link: link, logger: logger, started: time.Now(),
+		config: config, folder: folder, link: link, logger: logger, started: clock.Now(),
 		waiters: map[uint64]waiter{}, machine: control.New(config.Limits),
 		inbox: make(chan []*peer.Message, inboxSize), proposals: make(chan proposal, proposalSize),
 		changed: make(chan struct{}),
-		stop:    make(chan struct{}), done: make(chan struct{}),
+		stop:    make(chan struct{}), done: make(chan struct{}), failure: make(chan struct{}),
 	}
 	hard, entries, snapshot := folder.Loaded()
 	if snapshot != nil {
@@ -167,12 +181,16 @@
 		v.compacted = snapshot.Index
 	}
 	random := rand.New(rand.NewPCG(config.Seed, config.ID))
-	v.node = quorum.New(quorum.Config{ID: config.ID, Voters: config.InitialVoters, Timing: config.Timing, Rand: random},
+	v.node = quorum.New(quorum.Config{ID: config.ID, Voters: config.InitialVoters, Replicas: config.Replicas, Timing: config.Timing, Rand: random},
 		quorum.Restored{Hard: hard, Entries: entries, Snapshot: snapshot}, 0)
 	v.publish()
 	return v
 }
 
+// Broken returns a channel that is closed when the data folder has failed and
+// this voter takes no further part.
+func (v *Voter) Broken() <-chan struct{} { return v.failure }
+
 // Start runs the loop.
 func (v *Voter) Start() { go v.run() }
 
@@ -195,7 +213,7 @@
 func (v *Voter) Standing() *Standing { return v.standing.Load() }
 
 // MayAct reports whether this voter may act outward right now.
-func (v *Voter) MayAct() bool { return v.Standing().MayAct(time.Now()) }
+func (v *Voter) MayAct() bool { return v.Standing().MayAct(clock.Now()) }
 
 // ID returns the voter's id.
 func (v *Voter) ID() uint64 { return v.config.ID }
@@ -261,7 +279,7 @@
 	}
 }
 
-func (v *Voter) now() time.Duration { return time.Since(v.started) }
+func (v *Voter) now() time.Duration { return clock.Now() - v.started }
 
 func (v *Voter) log(k event.Kind, fields ...zap.Field) {
 	v.logger.Log(k, append(fields, zap.Uint64("voter", v.config.ID))...)
