Place prompts by their shared part and charge what re-reading costs others

Change: silence is what control instances say; the last part is left out; unread shared parts count twice. Readers still take 2 s while runners are idle: entries do not see each other's reads.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -50,6 +50,11 @@
 	outcome   string
 	target    string
 	estimated time.Duration
+	// reader read the prompt in readTime, if another target than the last did.
+	reader   string
+	readTime time.Duration
+	// unread is the tokens of prompt that were thought to be left to read.
+	unread int64
 }
 
 const (
@@ -145,7 +150,7 @@
 	}
 	chain := xxhash.Sum64String(a.Model)
 	tokens := int64(0)
-	for _, part := range a.Parts {
+	for _, part := range a.Parts[:max(0, len(a.Parts)-1)] {
 		chain = (chain ^ part.ID) * hashPrime
 		tokens += part.Tokens
 		p.Pieces = append(p.Pieces, chain)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -35,7 +35,8 @@
 func (s *Server) logServed(c *call) {
 	s.outcome("served")
 	s.parts.Metrics.Timer("first_event").Record(c.first)
-	s.parts.Logger.Log(event.RequestServed, c.fields(zap.String("target", c.target), zap.String("status", c.outcome),
+	s.parts.Logger.Log(event.RequestServed, c.fields(zap.String("target", c.target), zap.String("status", c.outcome), zap.String("reader", c.reader),
+		zap.Int64("read_ms", c.readTime.Milliseconds()), zap.Int64("unread_tokens", c.unread),
 		zap.Int64("first_ms", c.first.Milliseconds()), zap.Int64("estimate_ms", c.estimated.Milliseconds()),
 		zap.Int("sends", c.sends), zap.Int("runs", c.runs))...)
 }
@@ -49,7 +50,8 @@
 
 func (s *Server) logGone(c *call) {
 	s.outcome("caller_left")
-	s.parts.Logger.Log(event.RequestCancelled, c.fields(zap.String("target", c.target), zap.Int("sends", c.sends))...)
+	s.parts.Logger.Log(event.RequestCancelled, c.fields(zap.String("target", c.target), zap.Int("sends", c.sends), zap.String("reader", c.reader),
+		zap.Int64("read_ms", c.readTime.Milliseconds()), zap.Int64("unread_tokens", c.unread), zap.Int64("estimate_ms", c.estimated.Milliseconds()))...)
 }
 
 func (s *Server) logCut(c *call, t *route.Target, err error) {
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -54,7 +54,9 @@
 		return "", nil
 	}
 	t.Begin(p.Work)
-	defer func() { t.Prefilled(p.Work); t.End() }()
+	began := time.Now()
+	c.reader, c.unread = t.Name(), p.Work
+	defer func() { t.Prefilled(p.Work); t.End(); c.readTime += time.Since(began) }()
 	reply, err := c.server.parts.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), ReadOnly: true}))
 	if err != nil {
 		c.noteError(t, err)
--- a/route/plan.go
+++ b/route/plan.go
@@ -27,6 +27,8 @@
 	First time.Duration
 	// Work is the tokens of prompt that are still to be read, by whoever reads.
 	Work int64
+	// cost is First with what the placement costs other requests.
+	cost time.Duration
 }
 
 // A Placer represents the choice of targets over a whole fleet. It compares
@@ -40,8 +42,9 @@
 
 const (
 	// mixedRate is the speed, relative to a reader, at which a target reads
-	// prompts between the output of other requests.
-	mixedRate = 0.5
+	// prompts between the output of other requests. Each token read there also
+	// delays that output.
+	mixedRate = 0.25
 	// readRate is the tokens a second that a reader is taken to read until it
 	// is known better.
 	readRate = 45_000
@@ -54,6 +57,8 @@
 	crowdCost = 150 * time.Millisecond
 	// reportLife is how long a target's word on its load is of use.
 	reportLife = 500 * time.Millisecond
+	// againWeight is how many requests wait behind a reading, as it were.
+	againWeight = 2
 	// meanRead is the tokens of a prompt that is being read elsewhere.
 	meanRead = 3000
 )
@@ -88,7 +93,7 @@
 }
 
 func sooner(a, b Placement) Placement {
-	if a.Runner == nil || b.First < a.First {
+	if a.Runner == nil || b.cost < a.cost {
 		return b
 	}
 	return a
@@ -98,7 +103,16 @@
 	work := f.unread(t, prompt, home)
 	rate := readRate * mixedRate
 	first := readTime(t.backlog(now)+work, rate) + p.presence(f, t, now)
-	return Placement{Runner: t, First: first, Work: work}
+	return Placement{Runner: t, First: first, Work: work, cost: first + again(work, prompt)}
+}
+
+// again is what reading shared parts once more costs the requests behind it.
+func again(work int64, prompt Prompt) time.Duration {
+	if len(prompt.Tokens) == 0 {
+		return 0
+	}
+	own := prompt.Total - prompt.Tokens[len(prompt.Tokens)-1]
+	return readTime(max(0, work-own), readRate) * againWeight
 }
 
 func (p Placer) handedOver(f *Fleet, reader, runner *Target, prompt Prompt, home bool, now time.Time) Placement {
@@ -110,7 +124,7 @@
 	if reader.Silent() {
 		first += silentCost
 	}
-	return Placement{Runner: runner, Reader: reader, First: first, Work: work}
+	return Placement{Runner: runner, Reader: reader, First: first, Work: work, cost: first + again(work, prompt)}
 }
 
 // lightest returns the runner with the least to do.
--- a/route/target.go
+++ b/route/target.go
@@ -128,7 +128,9 @@
 	own := t.inFlight.Load()
 	r := t.report.Load()
 	if r == nil || now.Sub(r.at) > reportLife {
-		return own * max(1, t.sharers.Load())
+		// Without a report nothing tells this target's other requests from
+		// those of any other target.
+		return own
 	}
 	return max(own, int64(r.running+r.waiting)+own-r.ownInFlight)
 }
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -188,7 +188,6 @@
 			e.take(document)
 		case <-changed:
 		case <-ticker.C:
-			e.roster.Tick()
 		}
 	}
 }
