--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -34,6 +34,7 @@
 type fleetState struct {
 	index   *route.PrefixIndex
 	breaker *retry.Breaker
+	rates   *route.Rates
 	total   int
 }
 
@@ -96,13 +97,13 @@
 		// A doubtful target serves better than none.
 		usable = ejected
 	}
-	return route.NewFleet(usable, f.domain, state.index)
+	return route.NewFleet(usable, f.domain, state.index).WithRates(state.rates)
 }
 
 func (f *Fleets) state(name string) *fleetState {
 	s := f.services[name]
 	if s == nil {
-		s = &fleetState{index: route.NewPrefixIndex(piecesPerService), breaker: retry.NewBreaker()}
+		s = &fleetState{index: route.NewPrefixIndex(piecesPerService), breaker: retry.NewBreaker(), rates: route.NewRates()}
 		f.services[name] = s
 	}
 	return s
@@ -165,3 +166,33 @@
 	f.mutex.Unlock()
 	index.Add(t, pieces)
 }
+
+// Own returns what this instance has in flight, for the others.
+func (f *Fleets) Own() []*peer.TargetWork {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var list []*peer.TargetWork
+	for id, k := range f.targets {
+		if tokens, requests := k.target.Own(); requests > 0 {
+			list = append(list, &peer.TargetWork{Target: id, Tokens: tokens, Requests: requests})
+		}
+	}
+	return list
+}
+
+// Others takes what all other instances have in flight.
+func (f *Fleets) Others(list []*peer.TargetWork) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	byID := make(map[string]*peer.TargetWork, len(list))
+	for _, w := range list {
+		byID[w.Target] = w
+	}
+	for id, k := range f.targets {
+		w := byID[id]
+		k.target.SetOthers(w.GetTokens(), w.GetRequests())
+	}
+}
+
+// Entries returns the number of instances that send to the targets.
+func (f *Fleets) Entries() int { return int(f.sharers.Load()) }
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -38,9 +38,14 @@
 	p.Runner.Begin(work)
 	held := work
 	defer func() { p.Runner.Prefilled(held); p.Runner.End() }()
+	sent := time.Now()
 	began := func() {
 		p.Runner.Prefilled(held)
 		held = 0
+		if p.Reader == nil {
+			p.Learn(time.Since(sent))
+			c.server.parts.Fleets.Holds(c.service.Name, p.Runner, c.prompt.Pieces)
+		}
 	}
 	return c.send(p.Runner, Dispatch{Target: p.Runner.Name(), Source: source, LastEvent: c.ask.LastEvent}, began)
 }
@@ -82,6 +87,7 @@
 		c.noteError(t, err)
 		return "", nil
 	}
+	p.Learn(time.Since(began))
 	c.server.parts.Fleets.Holds(c.service.Name, t, c.prompt.Pieces)
 	return c.server.parts.Codec.Source(t.Address(), handle), nil
 }
--- a/route/plan.go
+++ b/route/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,10 +28,20 @@
 	First time.Duration
 	// Work is the tokens of prompt that are still to be read, by whoever reads.
 	Work int64
+	// waiting is the tokens that are read before, rates what a reading teaches.
+	waiting int64
+	rates   *Rates
 	// cost is First with what the placement costs other requests.
 	cost time.Duration
 }
 
+// Learn takes how long the reading by this placement took.
+func (p Placement) Learn(took time.Duration) {
+	if p.rates != nil {
+		p.rates.Learn(p.waiting+p.Work, took, p.Reader != nil)
+	}
+}
+
 // A Placer represents the choice of targets over a whole fleet. It compares
 // every target, which suits fleets of some hundreds.
 type Placer struct {
@@ -45,9 +56,16 @@
 	// prompts between the output of other requests. Each token read there also
 	// delays that output.
 	mixedRate = 0.25
-	// readRate is the tokens a second that a reader is taken to read until it
-	// is known better.
-	readRate = 45_000
+	// firstReadRate is the tokens a second that a reader is taken to read until
+	// it is known better.
+	firstReadRate = 45_000
+	// leastRead is the shortest reading that tells the rate.
+	leastRead = 500
+	// rateWeight is the weight of one reading in the rate.
+	rateWeight = 0.03
+	// The bounds of a rate that one odd reading cannot leave.
+	minReadRate = 2_000
+	maxReadRate = 2_000_000
 	// homeTrust is the part of a prompt that the target on which all instances
 	// agree is taken to hold, though this instance has not seen it there.
 	homeTrust = 0.8
@@ -59,8 +77,6 @@
 	reportLife = 500 * time.Millisecond
 	// againWeight is how many requests wait behind a reading, as it were.
 	againWeight = 2
-	// meanRead is the tokens of a prompt that is being read elsewhere.
-	meanRead = 3000
 )
 
 // Place returns where a request with the prompt goes. The avoided targets get it
@@ -101,30 +117,30 @@
 
 func (p Placer) direct(f *Fleet, t *Target, prompt Prompt, home bool, now time.Time) Placement {
 	work := f.unread(t, prompt, home)
-	rate := readRate * mixedRate
-	first := readTime(t.backlog(now)+work, rate) + p.presence(f, t, now)
-	return Placement{Runner: t, First: first, Work: work, cost: first + again(work, prompt)}
+	rate := f.rates.Mixed()
+	first := readTime(t.backlog()+work, rate) + p.presence(f, t, now)
+	return Placement{Runner: t, First: first, Work: work, waiting: t.backlog(), rates: f.rates, cost: first + f.again(work, prompt)}
 }
 
 // again is what reading shared parts once more costs the requests behind it.
-func again(work int64, prompt Prompt) time.Duration {
+func (f *Fleet) again(work int64, prompt Prompt) time.Duration {
 	if len(prompt.Tokens) == 0 {
 		return 0
 	}
 	own := prompt.Total - prompt.Tokens[len(prompt.Tokens)-1]
-	return readTime(max(0, work-own), readRate) * againWeight
+	return readTime(max(0, work-own), f.rates.Read()) * againWeight
 }
 
 func (p Placer) handedOver(f *Fleet, reader, runner *Target, prompt Prompt, home bool, now time.Time) Placement {
 	work := f.unread(reader, prompt, home)
-	first := readTime(reader.backlog(now)+work, readRate) + p.HandOver + p.presence(f, runner, now)
+	first := readTime(reader.backlog()+work, f.rates.Read()) + p.HandOver + p.presence(f, runner, now)
 	if reader.domain != runner.domain {
 		first += p.Remote
 	}
 	if reader.Silent() {
 		first += silentCost
 	}
-	return Placement{Runner: runner, Reader: reader, First: first, Work: work, cost: first + again(work, prompt)}
+	return Placement{Runner: runner, Reader: reader, First: first, Work: work, waiting: reader.backlog(), rates: f.rates, cost: first + f.again(work, prompt)}
 }
 
 // lightest returns the runner with the least to do.
@@ -135,7 +151,7 @@
 		if !t.Runs() || slices.Contains(avoid, t.name) {
 			continue
 		}
-		if c := readTime(t.backlog(now), readRate*mixedRate) + p.presence(f, t, now); best == nil || c < cost {
+		if c := readTime(t.backlog(), f.rates.Mixed()) + p.presence(f, t, now); best == nil || c < cost {
 			best, cost = t, c
 		}
 	}
@@ -218,3 +234,43 @@
 	}
 	return len(pieces)
 }
+
+// Rates represents the speeds at which the targets of a service read prompts,
+// in tokens a second, learned from readings. It is safe for concurrent use.
+type Rates struct {
+	mutex       sync.Mutex
+	read, mixed float64
+}
+
+// NewRates returns the rates before any reading.
+func NewRates() *Rates { return &Rates{read: firstReadRate, mixed: firstReadRate * mixedRate} }
+
+// Read returns the speed of a target that only reads.
+func (r *Rates) Read() float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.read
+}
+
+// Mixed returns the speed of a target that makes answers besides.
+func (r *Rates) Mixed() float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.mixed
+}
+
+// Learn takes a reading: the tokens that were read, those waiting before it
+// included, and the time.
+func (r *Rates) Learn(tokens int64, took time.Duration, reader bool) {
+	if tokens < leastRead || took <= 0 {
+		return
+	}
+	rate := min(maxReadRate, max(minReadRate, float64(tokens)/took.Seconds()))
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := &r.mixed
+	if reader {
+		known = &r.read
+	}
+	*known += rateWeight * (rate - *known)
+}
--- a/route/target.go
+++ b/route/target.go
@@ -32,6 +32,9 @@
 	warmAt  time.Time
 
 	silent atomic.Bool
+	// othersWork and othersRequests are what other instances have in flight.
+	othersWork     atomic.Int64
+	othersRequests atomic.Int64
 
 	inFlight atomic.Int64
 	work     atomic.Int64
@@ -123,28 +126,28 @@
 	return max(0, time.Until(t.warmAt))
 }
 
+// SetOthers notes what other instances have in flight on the target: prompt
+// tokens to read, and requests.
+func (t *Target) SetOthers(work, requests int64) {
+	t.othersWork.Store(work)
+	t.othersRequests.Store(requests)
+}
+
+// Own returns what this instance has in flight on the target.
+func (t *Target) Own() (work, requests int64) { return t.work.Load(), t.inFlight.Load() }
+
 // crowd estimates the requests on the target, of all instances.
 func (t *Target) crowd(now time.Time) int64 {
-	own := t.inFlight.Load()
+	known := t.inFlight.Load() + t.othersRequests.Load()
 	r := t.report.Load()
 	if r == nil || now.Sub(r.at) > reportLife {
-		// Without a report nothing tells this target's other requests from
-		// those of any other target.
-		return own
+		return known
 	}
-	return max(own, int64(r.running+r.waiting)+own-r.ownInFlight)
+	return max(known, int64(r.running+r.waiting)+t.inFlight.Load()-r.ownInFlight)
 }
 
 // backlog estimates the prompt tokens that the target reads before a new one.
-// What others have sent to a reader shows in the number of its requests; on a
-// target that also makes answers most of those are past their prompts.
-func (t *Target) backlog(now time.Time) int64 {
-	own := t.work.Load()
-	if t.Runs() {
-		return own
-	}
-	return own + max(0, t.crowd(now)-t.inFlight.Load())*meanRead
-}
+func (t *Target) backlog() int64 { return t.work.Load() + t.othersWork.Load() }
 
 // Begin counts a request with so many prompt tokens to prefill as in flight.
 func (t *Target) Begin(work int64) {
@@ -276,11 +279,12 @@
 	local   []*Target
 	remote  []*Target
 	index   *PrefixIndex
+	rates   *Rates
 }
 
 // NewFleet returns the fleet of the targets as seen from a failure domain.
 func NewFleet(targets []*Target, domain string, index *PrefixIndex) *Fleet {
-	f := &Fleet{targets: targets, domain: domain, index: index}
+	f := &Fleet{targets: targets, domain: domain, index: index, rates: NewRates()}
 	for _, t := range targets {
 		if t.domain == domain {
 			f.local = append(f.local, t)
@@ -291,6 +295,15 @@
 	return f
 }
 
+// WithRates returns the fleet with rates that outlive it.
+func (f *Fleet) WithRates(rates *Rates) *Fleet {
+	f.rates = rates
+	return f
+}
+
+// Rates returns how fast the targets read.
+func (f *Fleet) Rates() *Rates { return f.rates }
+
 // Targets returns the usable targets. The caller must not change the slice.
 func (f *Fleet) Targets() []*Target { return f.targets }
 
--- a/serve/control.go
+++ b/serve/control.go
@@ -57,6 +57,7 @@
 	roster    *roster.Roster
 	keeper    *replica.Keeper
 	watching  *watch.Server
+	pool      *watch.Pool
 	watcher   *watch.Client
 	meter     *authority.Meter
 	inner     *link.Server
@@ -114,6 +115,7 @@
 	}, c.folder, c.senders, c.logger)
 	c.roster = roster.New(clock.Now, silentHeartbeats*f.Announce.Span())
 	c.watching = watch.NewServer(c.incarnation, c.voter, c.roster)
+	c.pool = watch.NewPool()
 	c.watcher = watch.NewClient(self.Address, c.outgoing.client, c, c.logger)
 	c.keeper = replica.New(replica.Config{Self: self, Want: 2*f.Losses + 1, Known: c.watcher.Addresses}, c.voter, c.senders, c.outgoing.client, c.logger)
 	c.buildMeter()
@@ -298,6 +300,11 @@
 	return s.control.watching.Watch(ctx, request), nil
 }
 
+// Share exchanges entry instances' work.
+func (s *controlServer) Share(_ context.Context, request *peer.ShareRequest) (*peer.ShareResponse, error) {
+	return s.control.pool.Share(request), nil
+}
+
 // Enrol takes a replica's application.
 func (s *controlServer) Enrol(_ context.Context, request *peer.EnrolRequest) (*peer.EnrolResponse, error) {
 	if request.Replica.GetId() == 0 || request.Replica.Address == "" {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -47,6 +47,7 @@
 	suspects *retry.Suspects
 	begun    *usage.Begun
 	watcher  *watch.Client
+	sharer   *watch.Sharer
 	gateway  *gateway.Server
 
 	configuration atomic.Pointer[catalog.Snapshot]
@@ -78,6 +79,7 @@
 		return nil, err
 	}
 	e.watcher = watch.NewClient("", out.client, e, logger)
+	e.sharer = watch.NewSharer(e.incarnation, e.watcher.Addresses, out.client, e.fleets)
 	e.gateway = gateway.New(gateway.Config{
 		Requests: f.Requests, Readiness: f.Readiness, Notice: min(stopNotice, f.Grace.Span()/3), Grace: f.Grace.Span(),
 	}, gateway.Parts{
@@ -90,6 +92,7 @@
 // Run serves until the context ends, and then stops without cutting a request.
 func (e *Entry) Run(ctx context.Context) error {
 	e.watcher.SetSeeds(seedAddresses(e.settings.Fleet))
+	e.sharer.Start()
 	go e.runGateway()
 	go e.runReadiness()
 	go e.runRefresh()
@@ -103,6 +106,7 @@
 	e.logger.Log(event.Stopping, zap.Int64("open", e.gateway.Open()))
 	open := e.gateway.Stop()
 	close(e.stopped)
+	e.sharer.Stop()
 	e.watcher.Stop()
 	e.logger.Log(event.Stopped, zap.Int64("open", open))
 	return nil
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -126,6 +126,11 @@
 	return nil, errNoFleet
 }
 
+// Share refuses the exchange.
+func (s *peerServer) Share(context.Context, *peer.ShareRequest) (*peer.ShareResponse, error) {
+	return nil, errNoFleet
+}
+
 // Enrol refuses the application.
 func (s *peerServer) Enrol(context.Context, *peer.EnrolRequest) (*peer.EnrolResponse, error) {
 	return nil, errNoFleet
