--- a/authority/meter.go
+++ b/authority/meter.go
@@ -35,8 +35,10 @@
 	Lease time.Duration
 	// Encode returns the platform's form of a window's report.
 	Encode func(window *peer.Window, lengthMs int64) ([]byte, error)
-	// Kind names the actions' sender.
+	// Kind names the actions' sender; empty if no usage is reported.
 	Kind string
+	// Planner says which other actions are wanted.
+	Planner Planner
 }
 
 const (
@@ -113,10 +115,16 @@
 	if clock.Now()-m.since < m.config.Lease {
 		return
 	}
-	for m.closeNext(ctx) {
-	}
 	m.authority.Resolve(ctx)
-	m.report(ctx)
+	if m.config.Kind != "" {
+		for m.closeNext(ctx) {
+		}
+		m.report(ctx)
+	}
+	for _, action := range m.config.Planner.Wanted(time.Now()) {
+		// An action that fails stays open and is resolved in a later pass.
+		_ = m.authority.Act(ctx, action)
+	}
 }
 
 // closeNext commits the figures of the next window if they are complete, or
--- /dev/null
+++ b/plan/purchase.go
@@ -0,0 +1,160 @@
+// Package plan decides what the control leader orders: how many targets of a
+// service each failure domain should have, and which part of a request each
+// engine does.
+//
+// It owns these decisions as pure functions over what is known of the fleet. It
+// must not send anything; the authority package does.
+//
+// # Usage
+//
+//	orders := plan.Purchase(service, plan.CountTargets(rows), last, starting)
+//	changes := plan.Stages(rows)
+package plan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"auburnscale/catalog"
+	"auburnscale/peer"
+)
+
+// A Subject represents what one purchase order is about.
+type Subject struct {
+	Service       string
+	FailureDomain string
+	Reclaimable   bool
+}
+
+// An Order represents how many targets a subject should have.
+type Order struct {
+	Subject Subject
+	Count   int
+	// Base is the number of targets that the failure domain had at first.
+	Base int
+}
+
+const (
+	// spare is how many targets are wanted for each one present at first.
+	// Reclaimable ones cost a fraction, and a reclaim takes a whole failure
+	// domain of them at a time.
+	spare = 2.0
+	// keepShare is the part of the first targets that is kept when reclaimable
+	// ones serve beside them.
+	keepShare = 1.0
+	// needShare is the part of the first targets that is wanted while
+	// reclaimable ones are not to be had.
+	needShare = 1.3
+)
+
+// A Count represents the ready targets of a service in a failure domain.
+type Count struct {
+	Regular, Reclaimable int
+	// Reclaimed is the number of reclaimable targets that are leaving.
+	Reclaimed int
+}
+
+// CountTargets returns the targets that have been heard lately, by failure
+// domain.
+func CountTargets(rows []*peer.TargetRow) map[string]Count {
+	counts := map[string]Count{}
+	for _, row := range rows {
+		c := counts[row.Domain]
+		switch {
+		case row.Silent || row.State == peer.TargetRow_GONE:
+		case row.State == peer.TargetRow_DRAINING:
+			if row.Reclaimable {
+				c.Reclaimed++
+			}
+		case row.Reclaimable:
+			c.Reclaimable++
+		default:
+			c.Regular++
+		}
+		counts[row.Domain] = c
+	}
+	return counts
+}
+
+// Purchase returns the orders that differ from the last ones given, by subject.
+// A failure domain has many reclaimable targets and few others, or, while the
+// reclaimable ones are gone, enough others. starting tells whether ordered ones
+// may still be on their way.
+func Purchase(s *catalog.Service, counts map[string]Count, last map[Subject]Order, starting func(domain string) bool) []Order {
+	p := s.Purchase
+	if p == nil || p.ReclaimablePrice <= 0 || p.ReclaimablePrice >= 1 {
+		return nil
+	}
+	var orders []Order
+	for domain, count := range counts {
+		d := domainPlan{service: s.Name, domain: domain, least: p.Min, most: p.Max, count: count, starting: starting(domain)}
+		if o, ok := d.next(last); ok {
+			orders = append(orders, o)
+		}
+	}
+	slices.SortFunc(orders, compareOrders)
+	return orders
+}
+
+func compareOrders(a, b Order) int {
+	return cmp.Or(cmp.Compare(a.Subject.Service, b.Subject.Service), cmp.Compare(a.Subject.FailureDomain, b.Subject.FailureDomain),
+		cmp.Compare(a.Count, b.Count))
+}
+
+// A domainPlan represents the purchase of one service in one failure domain.
+type domainPlan struct {
+	service, domain string
+	least, most     int
+	count           Count
+	// starting is true while ordered targets may still be on their way.
+	starting bool
+}
+
+func (d domainPlan) order(reclaimable bool, count, base int) Order {
+	return Order{Subject{d.service, d.domain, reclaimable}, count, base}
+}
+
+// next returns the next order. The bound holds for both kinds together, so that
+// one kind is lowered before the other is raised.
+func (d domainPlan) next(last map[Subject]Order) (Order, bool) {
+	cheap, known := last[Subject{d.service, d.domain, true}]
+	if !known {
+		first := min(d.most, int(spare*float64(d.count.Regular))) - d.count.Regular
+		return d.order(true, first, d.count.Regular), first > 0
+	}
+	given := cheap.Base
+	if dear, ok := last[Subject{d.service, d.domain, false}]; ok {
+		given = dear.Count
+	}
+	regular, reclaimable := d.wanted(cheap, given)
+	switch {
+	case reclaimable < cheap.Count:
+		return d.order(true, reclaimable, cheap.Base), true
+	case regular < given:
+		return d.order(false, regular, cheap.Base), true
+	case regular > given && regular+cheap.Count <= d.most:
+		return d.order(false, regular, cheap.Base), true
+	case reclaimable > cheap.Count && reclaimable+max(given, d.count.Regular) <= d.most:
+		return d.order(true, reclaimable, cheap.Base), true
+	}
+	return Order{}, false
+}
+
+// wanted returns how many targets of each kind there should be by what serves
+// now. Between the two states the last orders stay.
+func (d domainPlan) wanted(cheap Order, given int) (regular, reclaimable int) {
+	base := float64(cheap.Base)
+	total := min(d.most, int(spare*base))
+	keep := max(1, d.least, int(math.Round(keepShare*base)))
+	need := min(d.most, int(math.Ceil(needShare*base)))
+	full := d.count.Reclaimable >= cheap.Count
+	lost := (!d.starting || d.count.Reclaimed > 0) && 2*d.count.Reclaimable < cheap.Count
+	switch {
+	case full:
+		return keep, max(0, total-keep)
+	case lost:
+		return need, max(1, min(total, d.most)-need)
+	}
+	return given, cheap.Count
+}
--- a/roster/snapshot.go
+++ b/roster/snapshot.go
@@ -26,5 +26,16 @@
 // Service returns the ready targets of the service, sorted by id.
 func (s *Snapshot) Service(name string) []*peer.TargetRow { return s.byService[name] }
 
+// Known returns all targets of the service, whatever their state.
+func (s *Snapshot) Known(service string) []*peer.TargetRow {
+	var rows []*peer.TargetRow
+	for _, row := range s.byID {
+		if row.Service == service {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // Target returns the row with the id, whatever its state, or nil.
 func (s *Snapshot) Target(id string) *peer.TargetRow { return s.byID[id] }
--- a/serve/control.go
+++ b/serve/control.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,6 +61,7 @@
 	pool      *watch.Pool
 	watcher   *watch.Client
 	meter     *authority.Meter
+	decoded   atomic.Pointer[catalog.Snapshot]
 	inner     *link.Server
 	operators *http.Server
 	listener  net.Listener
@@ -121,16 +123,53 @@
 	c.buildMeter()
 }
 
+// buildMeter builds the duties that only the leader has.
 func (c *Control) buildMeter() {
 	f := c.settings.Fleet
-	if f.Platform == "" || !slices.Contains(f.Duties, settings.UsageDuty) {
-		return
+	engines := platform.NewEngineClient(c.outgoing.dialer, c.settings.Instance)
+	senders := map[string]authority.Sender{stageKind: stageSender{engines, c.roster}}
+	config := authority.MeterConfig{
+		Window: f.UsageWindow.Span(), Late: f.UsageLate.Span(), Lease: f.Lease.Span(), Encode: platform.EncodeUsage,
+		Planner: &steward{
+			voter: c.voter, roster: c.roster, document: c.snapshot, engines: engines, logger: c.logger, tried: map[string]time.Duration{},
+			ordered:  map[string]time.Duration{},
+			purchase: f.Platform != "" && slices.Contains(f.Duties, settings.PurchaseDuty),
+		},
 	}
-	client := platform.NewDutyClient(c.outgoing.dialer, f.Platform, c.settings.Instance)
-	a := authority.New(c.voter, map[string]authority.Sender{usageKind: usageSender{client}}, c.logger)
-	c.meter = authority.NewMeter(authority.MeterConfig{
-		Window: f.UsageWindow.Span(), Late: f.UsageLate.Span(), Lease: f.Lease.Span(), Encode: platform.EncodeUsage, Kind: usageKind,
-	}, a, c.watching, c.logger)
+	if f.Platform != "" {
+		client := platform.NewDutyClient(c.outgoing.dialer, f.Platform, c.settings.Instance)
+		senders[purchaseKind] = purchaseSender{client}
+		if slices.Contains(f.Duties, settings.UsageDuty) {
+			config.Kind = usageKind
+			senders[usageKind] = usageSender{client}
+		}
+	}
+	c.meter = authority.NewMeter(config, authority.New(c.voter, senders, c.logger), c.watching, c.logger)
+}
+
+// snapshot returns the configuration in force as far as this voter knows it, or
+// nil.
+func (c *Control) snapshot() *catalog.Snapshot {
+	var document *peer.ReplaceDocument
+	c.voter.Read(func(m *control.Machine) { document = m.Document() })
+	if document == nil {
+		return nil
+	}
+	if known := c.decoded.Load(); known != nil && known.Version() == document.Version {
+		return known
+	}
+	configuration, err := platform.DecodeConfiguration(document.Body)
+	if err != nil {
+		c.logger.Log(event.ConfigRefused, zap.Uint64("version", document.Version), zap.Error(err))
+		return nil
+	}
+	snapshot, findings := catalog.New(configuration)
+	if err := findings.Err(); err != nil {
+		c.logger.Log(event.ConfigRefused, zap.Uint64("version", document.Version), zap.Error(err))
+		return nil
+	}
+	c.decoded.Store(snapshot)
+	return snapshot
 }
 
 type usageSender struct{ client *platform.DutyClient }
@@ -166,9 +205,7 @@
 	go c.runInner()
 	go c.runOperators()
 	go c.runRoster()
-	if c.meter != nil {
-		c.meter.Start()
-	}
+	c.meter.Start()
 	c.logger.Log(event.Started, zap.String("incarnation", c.incarnation), zap.String("operators", c.settings.Fleet.Operators), zap.Uint64("voter", c.voter.ID()))
 	select {
 	case <-ctx.Done():
@@ -206,9 +243,7 @@
 	defer cancel()
 	// Calls that are being answered finish; later ones go to other instances.
 	_ = c.operators.Shutdown(ctx)
-	if c.meter != nil {
-		c.meter.Stop()
-	}
+	c.meter.Stop()
 	c.keeper.Stop()
 	c.watcher.Stop()
 	c.voter.Stop()
