Leave engines alone while they change their stage or decline

Cause: an engine that was ordered to change its stage answers 503 for 3 s with a load of 0, which drew more requests to it; two of three declines spent the retry budget, and handles were lost.

--- a/gateway/try.go
+++ b/gateway/try.go
@@ -71,6 +71,7 @@
 	said := c.note(t, reply)
 	if reply.Status() != http.StatusOK || said.NotRun {
 		c.server.parts.Fleets.Failed(c.service.Name, t, said.Other)
+		t.Decline(time.Now())
 		c.avoid = append(c.avoid, t.Name())
 		// The read was rejected and counts as an arrival; the direct one that
 		// follows is the request's first.
@@ -150,14 +151,15 @@
 // notRun handles a target's statement that it did not run the request.
 func (c *call) notRun(t *route.Target, said Reply, handedOver bool) (bool, *failure) {
 	c.server.logNotRun(c, t, said)
-	if handedOver && !said.Other {
-		// The cache could not be had, which says nothing about the target.
-		c.reread = true
-		return false, nil
-	}
 	c.avoid = append(c.avoid, t.Name())
-	if said.Other {
+	switch {
+	case said.Other:
 		c.server.parts.Fleets.Failed(c.service.Name, t, true)
+	case handedOver:
+		// Perhaps only the cache could not be had.
+		c.reread = true
+	default:
+		t.Decline(time.Now())
 	}
 	return false, nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -30,6 +30,9 @@
 const (
 	// maxRows bounds the rows; a fleet of the size to design for has 620.
 	maxRows = 4096
+	// flagSlack is by how much two instances may differ on when a target was
+	// last heard and still mean the same word.
+	flagSlack = 300 * time.Millisecond
 	// forgetAfter is how long a target that left is remembered. It exceeds any
 	// delay of a heartbeat by far.
 	forgetAfter = 10 * time.Minute
@@ -52,6 +55,8 @@
 	row *peer.TargetRow
 	// heard is when any instance heard the target, as far as this one knows.
 	heard time.Duration
+	// awayUntil is when the target is back from an order of this instance's.
+	awayUntil time.Duration
 }
 
 // New returns an empty roster on the clock.
@@ -74,6 +79,9 @@
 		return false
 	}
 	before := r.revision
+	if known != nil && known.awayUntil > r.now() && row.Stage == known.row.Stage {
+		row.Away = true
+	}
 	r.merge(row, 0)
 	r.publish(before)
 	return true
@@ -106,7 +114,25 @@
 		if silent := now-e.heard > r.silence; silent != e.row.Silent {
 			r.set(e, func(row *peer.TargetRow) { row.Silent = silent })
 		}
+		if e.row.Away && now > e.awayUntil {
+			r.set(e, func(row *peer.TargetRow) { row.Away = false })
+		}
+	}
+	r.publish(before)
+}
+
+// SetAway notes that the target was ordered to change its stage and takes
+// nothing for the time.
+func (r *Roster) SetAway(id string, span time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	e := r.entries[id]
+	if e == nil {
+		return
 	}
+	before := r.revision
+	e.awayUntil = r.now() + span
+	r.set(e, func(row *peer.TargetRow) { row.Away = true })
 	r.publish(before)
 }
 
@@ -150,12 +176,20 @@
 // refresh takes the later of two rows that say the same, without a change of
 // the revision unless something else in the row differs.
 func (r *Roster) refresh(known *entry, row *peer.TargetRow, heard time.Duration) {
+	if row.Seq == known.row.Seq && heard >= known.heard-flagSlack && (row.Silent != known.row.Silent || row.Away != known.row.Away) && known.awayUntil < r.now() {
+		r.set(known, func(o *peer.TargetRow) { o.Silent, o.Away = row.Silent, row.Away })
+	}
 	known.heard = max(known.heard, heard)
 	if row.Seq <= known.row.Seq {
 		return
 	}
 	if differs(known.row, row) {
+		until := known.awayUntil
 		r.insert(row, known.heard)
+		if next := r.entries[row.Id]; until > r.now() && next.row.Stage == known.row.Stage {
+			next.awayUntil = until
+			r.set(next, func(o *peer.TargetRow) { o.Away = true })
+		}
 		return
 	}
 	next := proto.Clone(known.row).(*peer.TargetRow)
@@ -165,7 +199,7 @@
 
 func differs(a, b *peer.TargetRow) bool {
 	return a.Service != b.Service || a.Address != b.Address || a.Domain != b.Domain || a.Slots != b.Slots ||
-		a.Stage != b.Stage || a.Reclaimable != b.Reclaimable || (a.ColdMs > 0) != (b.ColdMs > 0)
+		a.Stage != b.Stage || a.Reclaimable != b.Reclaimable || a.Silent != b.Silent || a.Away != b.Away || (a.ColdMs > 0) != (b.ColdMs > 0)
 }
 
 func (r *Roster) insert(row *peer.TargetRow, heard time.Duration) {
--- a/route/plan.go
+++ b/route/plan.go
@@ -89,7 +89,7 @@
 	runner := p.lightest(f, avoid, now)
 	home := f.home(prompt, func(t *Target) bool { return !t.Runs() })
 	for _, t := range f.targets {
-		if !t.Runs() && !slices.Contains(avoid, t.name) {
+		if !t.Runs() && t.takes(now) && !slices.Contains(avoid, t.name) {
 			best = sooner(best, p.handedOver(f, t, runner, prompt, t == home, now))
 		}
 	}
@@ -101,7 +101,7 @@
 	best := Placement{}
 	home := f.home(prompt, func(t *Target) bool { return t.Runs() })
 	for _, t := range f.targets {
-		if t.Runs() && !slices.Contains(avoid, t.name) {
+		if t.Runs() && t.takes(now) && !slices.Contains(avoid, t.name) {
 			best = sooner(best, p.direct(f, t, prompt, t == home, now))
 		}
 	}
@@ -148,7 +148,7 @@
 	var best *Target
 	var cost time.Duration
 	for _, t := range f.targets {
-		if !t.Runs() || slices.Contains(avoid, t.name) {
+		if !t.Runs() || !t.takes(now) || slices.Contains(avoid, t.name) {
 			continue
 		}
 		if c := readTime(t.backlog(), f.rates.Mixed()) + p.presence(f, t, now); best == nil || c < cost {
--- a/route/target.go
+++ b/route/target.go
@@ -32,6 +32,10 @@
 	warmAt  time.Time
 
 	silent atomic.Bool
+	// awayUntil is when the target takes requests again, in nanoseconds since
+	// 1970; away is true while it is known to change its stage.
+	awayUntil atomic.Int64
+	away      atomic.Bool
 	// othersWork and othersRequests are what other instances have in flight.
 	othersWork     atomic.Int64
 	othersRequests atomic.Int64
@@ -118,6 +122,21 @@
 // Silent reports whether nobody has heard the target lately.
 func (t *Target) Silent() bool { return t.silent.Load() }
 
+// SetAway notes whether the target is known to change its stage.
+func (t *Target) SetAway(away bool) { t.away.Store(away) }
+
+// Decline notes that the target took nothing, though it is not full.
+func (t *Target) Decline(now time.Time) { t.awayUntil.Store(now.Add(declineRest).UnixNano()) }
+
+// declineRest is how long a target that declined is left alone. It comes back
+// from a change of its stage within seconds.
+const declineRest = 500 * time.Millisecond
+
+// takes reports whether the target can be expected to take a request.
+func (t *Target) takes(now time.Time) bool {
+	return !t.away.Load() && now.UnixNano() >= t.awayUntil.Load()
+}
+
 // startLeft returns how much longer the target is slow after its start.
 func (t *Target) startLeft() time.Duration {
 	if t.warmAt.IsZero() {
--- a/serve/control.go
+++ b/serve/control.go
@@ -127,7 +127,7 @@
 func (c *Control) buildMeter() {
 	f := c.settings.Fleet
 	engines := platform.NewEngineClient(c.outgoing.dialer, c.settings.Instance)
-	senders := map[string]authority.Sender{stageKind: stageSender{engines, c.roster}}
+	senders := map[string]authority.Sender{stageKind: stageSender{engines, c.roster, c.switchTime}}
 	config := authority.MeterConfig{
 		Window: f.UsageWindow.Span(), Late: f.UsageLate.Span(), Lease: f.Lease.Span(), Encode: platform.EncodeUsage,
 		Planner: &steward{
@@ -147,6 +147,16 @@
 	c.meter = authority.NewMeter(config, authority.New(c.voter, senders, c.logger), c.watching, c.logger)
 }
 
+// switchTime returns how long the service's engines are away when they change
+// their stage.
+func (c *Control) switchTime(service string) time.Duration {
+	snapshot := c.snapshot()
+	if snapshot == nil || snapshot.Service(service) == nil || snapshot.Service(service).Engine == nil {
+		return 0
+	}
+	return snapshot.Service(service).Engine.SwitchTime
+}
+
 // snapshot returns the configuration in force as far as this voter knows it, or
 // nil.
 func (c *Control) snapshot() *catalog.Snapshot {
--- a/serve/steward.go
+++ b/serve/steward.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -133,7 +134,9 @@
 	return fmt.Sprintf("%s/%s/%s/%t", purchaseKind, s.Service, s.FailureDomain, s.Reclaimable)
 }
 
-func purchaseKey(o plan.Order) string { return fmt.Sprintf("%s/%d", purchaseTarget(o.Subject), o.Count) }
+func purchaseKey(o plan.Order) string {
+	return fmt.Sprintf("%s/%d", purchaseTarget(o.Subject), o.Count)
+}
 
 // lastOrders returns the last orders for the service, from the log.
 func (s *steward) lastOrders(service string) map[plan.Subject]plan.Order {
@@ -212,10 +215,15 @@
 
 // stageSender sends orders to engines.
 type stageSender struct {
-	engines *platform.EngineClient
-	roster  *roster.Roster
+	engines    *platform.EngineClient
+	roster     *roster.Roster
+	switchTime func(service string) time.Duration
 }
 
+// switchSlack is what an engine may take beyond its switching time until its
+// heartbeat says so; running work comes first.
+const switchSlack = time.Second
+
 // Send sends the committed order to the engine that it was meant for.
 func (s stageSender) Send(ctx context.Context, target string, epoch uint64, payload []byte) (int, string, error) {
 	var p stagePayload
@@ -226,5 +234,9 @@
 	if row == nil || row.State != peer.TargetRow_READY {
 		return statusGone, "the engine left", nil
 	}
-	return s.engines.SetStage(ctx, target, row.Address, epoch, platform.StageOrder{Stage: p.Stage, Orders: p.Orders})
+	status, detail, err := s.engines.SetStage(ctx, target, row.Address, epoch, platform.StageOrder{Stage: p.Stage, Orders: p.Orders})
+	if err == nil && status == http.StatusAccepted {
+		s.roster.SetAway(target, s.switchTime(row.Service)+switchSlack)
+	}
+	return status, detail, err
 }
