Read a prompt once, rest unreachable targets, wait for a lost disk

Change: the source of a read prompt is kept for the next runner; a repeated read asks the budget; an unreachable target rests at once and longer each time; the control process builds its voter anew in place once the disk takes writes.

--- a/command/serve.go
+++ b/command/serve.go
@@ -62,12 +62,27 @@
 
 // runFleet runs an instance of a fleet that finds itself.
 func runFleet(ctx context.Context, file string, s settings.Settings, logger *event.Logger) error {
+	for {
+		err := runOnce(ctx, file, s, logger)
+		if !errors.Is(err, serve.ErrRestart) {
+			return err
+		}
+		// The settings may have changed meanwhile.
+		if next, findings := settings.Read(file); findings.Err() == nil {
+			s = next
+		}
+	}
+}
+
+func runOnce(ctx context.Context, file string, s settings.Settings, logger *event.Logger) error {
 	process, err := serve.NewFleet(s, logger)
 	if err != nil {
 		return err
 	}
+	reloading, cancel := context.WithCancel(ctx)
+	defer cancel()
 	r := &reloader{file: file, process: process, logger: logger}
-	go r.run(ctx)
+	go r.run(reloading)
 	if err := process.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -38,7 +38,7 @@
 const (
 	// connectTimeout bounds the wait for a connection to a target. The network
 	// takes milliseconds; a target that does not answer is left for another.
-	connectTimeout = 300 * time.Millisecond
+	connectTimeout = 150 * time.Millisecond
 	replyBuffer    = 4 << 10
 	// inlineBody is the body up to which a request is written before the answer
 	// is read. A longer one is written beside the reading, since a target may
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -42,6 +42,11 @@
 	sends, runs int
 	// reread is true if the request goes without a hand-over from now on.
 	reread bool
+	// source names the prompt's cache at the target that read it, until a
+	// runner took it. It is offered to offers runners at most.
+	source string
+	offers int
+	reads  int
 	// last is a target's own failure that is passed on if no other try helps.
 	last *keptReply
 
@@ -224,7 +229,7 @@
 		return route.Placement{}
 	}
 	prompt := c.prompt
-	if c.reread {
+	if c.reread || c.source != "" {
 		return c.server.parts.Fleets.Placer().Direct(fleet, prompt, c.avoid, time.Now())
 	}
 	return c.server.parts.Fleets.Placer().Place(fleet, prompt, c.avoid, time.Now())
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -18,22 +18,29 @@
 	maxHandleBytes = 64 << 10
 )
 
+// maxOffers bounds how many runners are offered the cache of a read prompt. One
+// that declines may have lost it.
+const maxOffers = 2
+
 // try sends the request once by the placement. It returns true if the caller
 // has its answer, a failure if that is final, and neither if another target can
 // be tried.
 func (c *call) try(p route.Placement) (bool, *failure) {
-	source, f := c.readElsewhere(p)
-	if f != nil || c.ctx.Err() != nil {
-		return false, f
-	}
-	if p.Reader != nil && source == "" {
-		// The prompt could not be read there; place it anew.
-		c.reread = true
-		return false, nil
+	if p.Reader != nil && c.source == "" {
+		c.source = c.readElsewhere(p)
+		if c.ctx.Err() != nil {
+			return false, c.overdue()
+		}
+		if c.source == "" {
+			// The prompt could not be read there; place it anew.
+			c.reread = true
+			return false, nil
+		}
 	}
-	work := p.Work
+	work, source := p.Work, c.source
 	if source != "" {
 		work = 0
+		c.offers++
 	}
 	p.Runner.Begin(work)
 	held := work
@@ -42,7 +49,7 @@
 	began := func() {
 		p.Runner.Prefilled(held)
 		held = 0
-		if p.Reader == nil {
+		if source == "" {
 			p.Learn(time.Since(sent))
 			c.server.parts.Fleets.Holds(c.service.Name, p.Runner, c.prompt.Pieces)
 		}
@@ -51,13 +58,13 @@
 }
 
 // readElsewhere lets the placement's reader read the prompt. It returns no
-// source if there is no reader or it failed; a prompt that is read twice costs
-// time only.
-func (c *call) readElsewhere(p route.Placement) (string, *failure) {
+// source if that failed; a prompt that is read twice costs time only.
+func (c *call) readElsewhere(p route.Placement) string {
 	t := p.Reader
-	if t == nil {
-		return "", nil
+	if c.reads > 0 && !c.server.parts.Budget.Spend(c.service.Name, clock.Now()) {
+		return ""
 	}
+	c.reads++
 	t.Begin(p.Work)
 	began := time.Now()
 	c.reader, c.unread = t.Name(), p.Work
@@ -65,7 +72,7 @@
 	reply, err := c.server.parts.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), ReadOnly: true}))
 	if err != nil {
 		c.noteError(t, err)
-		return "", nil
+		return ""
 	}
 	defer reply.Close()
 	said := c.note(t, reply)
@@ -76,21 +83,22 @@
 		// The read was rejected and counts as an arrival; the direct one that
 		// follows is the request's first.
 		c.server.parts.Budget.Note(c.service.Name, clock.Now())
-		return "", nil
+		return ""
 	}
 	body, err := reply.ReadAll(maxHandleBytes)
 	if err != nil {
 		c.noteError(t, err)
-		return "", nil
+		return ""
 	}
 	handle, err := c.server.parts.Codec.DecodeHandle(body)
 	if err != nil {
 		c.noteError(t, err)
-		return "", nil
+		return ""
 	}
+	t.Took()
 	p.Learn(time.Since(began))
 	c.server.parts.Fleets.Holds(c.service.Name, t, c.prompt.Pieces)
-	return c.server.parts.Codec.Source(t.Address(), handle), nil
+	return c.server.parts.Codec.Source(t.Address(), handle)
 }
 
 // noteError takes a target out after it did not answer.
@@ -99,6 +107,9 @@
 	if c.ctx.Err() != nil {
 		return
 	}
+	if exchange.NotSent(err) {
+		t.Decline(time.Now())
+	}
 	c.server.parts.Fleets.Failed(c.service.Name, t, false)
 	c.server.logBroken(c, t, err)
 }
@@ -129,6 +140,8 @@
 		return c.notRun(t, said, d.Source != "")
 	}
 	c.runs++
+	c.source, c.reread = "", true
+	t.Took()
 	if reply.Status() >= http.StatusInternalServerError {
 		return c.targetFailed(t, reply, said)
 	}
@@ -155,9 +168,10 @@
 	switch {
 	case said.Other:
 		c.server.parts.Fleets.Failed(c.service.Name, t, true)
-	case handedOver:
+	case handedOver && c.offers < maxOffers:
 		// Perhaps only the cache could not be had.
-		c.reread = true
+	case handedOver:
+		c.source, c.reread = "", true
 	default:
 		t.Decline(time.Now())
 	}
--- a/route/target.go
+++ b/route/target.go
@@ -35,6 +35,7 @@
 	// awayUntil is when the target takes requests again, in nanoseconds since
 	// 1970; away is true while it is known to change its stage.
 	awayUntil atomic.Int64
+	declines  atomic.Int64
 	away      atomic.Bool
 	// othersWork and othersRequests are what other instances have in flight.
 	othersWork     atomic.Int64
@@ -125,12 +126,24 @@
 // SetAway notes whether the target is known to change its stage.
 func (t *Target) SetAway(away bool) { t.away.Store(away) }
 
-// Decline notes that the target took nothing, though it is not full.
-func (t *Target) Decline(now time.Time) { t.awayUntil.Store(now.Add(declineRest).UnixNano()) }
+// Decline notes that the target took nothing, though it is not full, or could
+// not be reached. It is left alone for longer each time.
+func (t *Target) Decline(now time.Time) {
+	n := t.declines.Add(1)
+	rest := min(maxRest, firstRest<<min(n-1, restDoublings))
+	t.awayUntil.Store(now.Add(rest).UnixNano())
+}
+
+// Took notes that the target took a request.
+func (t *Target) Took() { t.declines.Store(0) }
 
-// declineRest is how long a target that declined is left alone. It comes back
-// from a change of its stage within seconds.
-const declineRest = 500 * time.Millisecond
+const (
+	// firstRest is how long a target is left alone after it took nothing once.
+	// It comes back from a change of its stage, or a crash, within seconds.
+	firstRest     = 500 * time.Millisecond
+	maxRest       = 4 * time.Second
+	restDoublings = 3
+)
 
 // takes reports whether the target can be expected to take a request.
 func (t *Target) takes(now time.Time) bool {
--- a/serve/control.go
+++ b/serve/control.go
@@ -41,10 +41,14 @@
 	// answerLimit is below the second that operators wait for an answer.
 	answerLimit = 900 * time.Millisecond
 	usageKind   = control.UsageIntent
-	// brokenPause keeps a process whose disk fails from starting over and over.
-	brokenPause = time.Second
+	// brokenPause is the time between two looks whether a failed disk is back.
+	brokenPause = 500 * time.Millisecond
 )
 
+// ErrRestart means that the instance must be built anew: its disk failed and is
+// back, and what the disk holds must be read again.
+var ErrRestart = errors.New("the data folder was lost for a while")
+
 // A Control represents a running control instance.
 type Control struct {
 	settings    settings.Settings
@@ -222,14 +226,25 @@
 		c.stop()
 		return nil
 	case <-c.voter.Broken():
-		time.Sleep(brokenPause)
-		return errors.New("the data folder cannot be written")
+		c.stop()
+		c.awaitDisk(ctx)
+		return ErrRestart
 	case err := <-c.failed:
 		c.logger.Log(event.ListenerFailed, zap.Error(err))
 		return err
 	}
 }
 
+// awaitDisk returns when the data folder takes writes again.
+func (c *Control) awaitDisk(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(brokenPause)
+		if storage.Writable(c.settings.Fleet.DataFolder) {
+			return
+		}
+	}
+}
+
 func (c *Control) runInner()     { c.failed <- c.inner.Serve() }
 func (c *Control) runOperators() { c.failed <- c.operators.Serve(c.listener) }
 
--- a/storage/folder.go
+++ b/storage/folder.go
@@ -34,6 +34,9 @@
 	logName      = "log"
 	snapshotName = "snapshot"
 	identityName = "identity"
+	probeName    = "probe"
+	// probeBytes is what a disk must take before it counts as back.
+	probeBytes = 64 << 10
 
 	filePermissions   = 0o600
 	folderPermissions = 0o700
@@ -71,6 +74,21 @@
 	return f, nil
 }
 
+// Writable reports whether the folder at path takes writes that last.
+func Writable(path string) bool {
+	name := filepath.Join(path, probeName)
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermissions)
+	if err != nil {
+		return false
+	}
+	defer os.Remove(name)
+	defer file.Close()
+	if _, err := file.Write(make([]byte, probeBytes)); err != nil {
+		return false
+	}
+	return file.Sync() == nil
+}
+
 // Loaded returns what Open found: the hard state (nil if none), the log entries
 // after the snapshot, and the snapshot (nil if none).
 func (f *Folder) Loaded() (*peer.Hard, []*peer.Entry, *peer.Snapshot) {
