Make two tests independent of the machine's speed

Cause, traced on the former commit beside four busy processes: two of the eight streams of TestPlannedStopCutsNothing were refused, truly and as not run ("the request would wait 750ms for a target"), since the stand-in engines were slow and the first token's target is 1.3 s; so eight were never open at once. The product was right. TestDeadTargetsCostNoBudget allows such refusals and fails if they are half. Ruled out: a stream that ends before the others open (all were open within 0.1 s). Change: both tests ask for no first-token target, and the engines hold the streams behind their first token until the stop has begun.

--- a/serve/cluster_test.go
+++ b/serve/cluster_test.go
@@ -53,6 +53,9 @@
 	rules     string
 	// fourth makes b2 a possible voter, which is not in the first quorum.
 	fourth bool
+	// firstToken replaces the target for the first token, for tests in which no
+	// request may be refused for its estimated time.
+	firstToken time.Duration
 }
 
 var sites atomic.Uint32
@@ -132,6 +135,9 @@
 	c.Control.Freshness = settings.Duration(1500 * time.Millisecond)
 	c.Control.ProbeInterval = settings.Duration(100 * time.Millisecond)
 	c.Control.DrainNotice = settings.Duration(200 * time.Millisecond)
+	if s.firstToken > 0 {
+		c.Caller.FirstToken = settings.Duration(s.firstToken)
+	}
 	return c
 }
 
--- a/serve/failure_test.go
+++ b/serve/failure_test.go
@@ -205,9 +205,13 @@
 	s.await("the cut-off side follows", func() bool { return s.chat("b1", guildKey, "x", 2).code() == "key_withdrawn not_run" })
 }
 
-// TestPlannedStopCutsNothing stops an instance under streams and short calls.
+// TestPlannedStopCutsNothing stops an instance under streams and short calls. The
+// engines hold the streams behind their first token until the stop has begun, so
+// that all of them are open then on a machine of any speed.
 func TestPlannedStopCutsNothing(t *testing.T) {
-	s := newSite(t, engines(2, standin.Faults{}), []standin.ServiceConfig{{Name: "d0"}})
+	held := make(chan struct{})
+	s := newSite(t, engines(2, standin.Faults{HoldAfterFirst: held}), []standin.ServiceConfig{{Name: "d0"}})
+	s.firstToken = waitLimit
 	s.start()
 	var group sync.WaitGroup
 	answers := make(chan answer, 64)
@@ -218,7 +222,12 @@
 			answers <- s.post("b2", guildKey, "/v1/chat/completions", chatBody(fmt.Sprint("long ", i), 60, true))
 		}()
 	}
-	s.await("the streams are open", func() bool { return s.processes["b2"].callers.Open() >= 8 })
+	callers := s.processes["b2"].callers
+	s.await("the streams are open", func() bool { return callers.Open() >= 8 })
+	s.cancel["b2"]()
+	s.await("the stop has begun", callers.Stopping)
+	require.EqualValues(t, 8, callers.Open())
+	close(held)
 	require.NoError(t, s.stop("b2"))
 	group.Wait()
 	close(answers)
@@ -369,6 +378,7 @@
 // retry budget may stand between a request and the engines that live.
 func TestDeadTargetsCostNoBudget(t *testing.T) {
 	s := newSite(t, engines(6, standin.Faults{}), nil)
+	s.firstToken = waitLimit
 	s.start()
 	for _, e := range s.engines[:3] {
 		e.Kill()
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -65,6 +65,8 @@
 	waiting  []*sequence
 	running  []*sequence
 	chunk    int
+	// hold keeps streams behind their first token until it is closed.
+	hold <-chan struct{}
 }
 
 func (b *batch) add(q *sequence) {
@@ -104,6 +106,9 @@
 		if q.position >= q.limit {
 			continue
 		}
+		if q.left == 0 && q.position > 0 && b.holds() {
+			continue
+		}
 		if q.left == 0 {
 			q.position++
 			q.tokens <- q.position
@@ -122,6 +127,18 @@
 	return prefill, decode
 }
 
+func (b *batch) holds() bool {
+	if b.hold == nil {
+		return false
+	}
+	select {
+	case <-b.hold:
+		return false
+	default:
+		return true
+	}
+}
+
 // prefill works on a prompt for at most budget tokens and returns how many it
 // took. The prefix cache is looked at when the prompt's turn comes, and holds
 // each piece as soon as it is computed.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -40,6 +40,9 @@
 	IgnoreFencing bool
 	// RefuseOrders answers orders with 503.
 	RefuseOrders bool
+	// HoldAfterFirst, if not nil, holds every stream behind its first token
+	// until the channel is closed.
+	HoldAfterFirst <-chan struct{}
 }
 
 // EngineConfig describes a stand-in engine.
@@ -107,7 +110,7 @@
 		config: config, incarnation: fmt.Sprintf("%016x", random.Uint64()), role: config.Role,
 		wake: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
-	e.batch = batch{slots: config.Slots, kvTokens: config.KVTokens, cache: newPrefixCache(config.CachePieces), chunk: chunkOf(config.Role)}
+	e.batch = batch{slots: config.Slots, kvTokens: config.KVTokens, cache: newPrefixCache(config.CachePieces), chunk: chunkOf(config.Role), hold: config.Faults.HoldAfterFirst}
 	return e
 }
 
