--- a/gateway/server.go
+++ b/gateway/server.go
@@ -122,6 +122,16 @@
 	return nil
 }
 
+// Address returns where requests are listened for.
+func (s *Server) Address() string { return s.listeners[0].Addr().String() }
+
+// Abort closes the listeners and every connection at once.
+func (s *Server) Abort() {
+	s.stopping.Store(true)
+	_ = s.requests.Close()
+	_ = s.readiness.Close()
+}
+
 // Serve answers until Stop.
 func (s *Server) Serve() error { return s.requests.Serve(s.listeners[0]) }
 
