--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -470,3 +470,35 @@
 	require.Equal(t, 200, (<-ended).status)
 	require.Zero(t, <-stopped)
 }
+
+// TestStopTakesNothingLate keeps a caller sending over a kept connection while
+// the instance stops. After the notice nothing more is taken: a request that
+// comes late would be cut by the end of the grace.
+func TestStopTakesNothingLate(t *testing.T) {
+	b := newBed(t, 1)
+	release := b.targets[0].Hold()
+	first, id := b.request(context.Background(), http.MethodPost, "/orders/1")
+	ended := make(chan answer, 1)
+	go func() { ended <- send(first) }()
+	b.await("a request is open", func() bool { return b.runs(id) == 1 })
+
+	idle, err := net.Dial("tcp", b.address)
+	require.NoError(t, err)
+	defer idle.Close()
+	_, err = fmt.Fprint(idle, "GET /nothing/ HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+	require.NoError(t, err)
+	reader := bufio.NewReader(idle)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.NoError(t, err)
+
+	stopped := make(chan int64, 1)
+	go func() { stopped <- b.server.Stop() }()
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "the idle connection is closed while another request is open")
+	require.EqualValues(t, 1, b.server.Open())
+	release()
+	require.Equal(t, 200, (<-ended).status)
+	require.Zero(t, <-stopped)
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -95,7 +95,6 @@
 	maxHeaderBytes = 64 << 10
 	// graceSlack is left of the grace for the process to end in.
 	graceSlack = 700 * time.Millisecond
-	stopPoll   = 20 * time.Millisecond
 )
 
 // New returns a gateway that does not listen yet.
@@ -145,25 +144,17 @@
 func (s *Server) Open() int64 { return s.open.Load() }
 
 // Stop ends the gateway without cutting a request: it says at once that it is
-// not ready, ends each connection behind its next answer, goes on accepting for
-// the notice and returns when nothing is open or the grace is nearly over. It
-// returns the number of requests that were still open.
+// not ready and ends each connection behind its next answer, goes on accepting
+// for the notice, and then takes nothing more. It returns when nothing is open or
+// the grace is nearly over, with the number of requests that were still open.
 func (s *Server) Stop() int64 {
 	began := time.Now()
 	s.stopping.Store(true)
 	time.Sleep(s.config.Notice)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.config.Grace-graceSlack))
 	defer cancel()
-	quiet := 0
-	for ctx.Err() == nil && quiet < 2 {
-		if s.open.Load() == 0 {
-			quiet++
-		} else {
-			quiet = 0
-		}
-		time.Sleep(stopPoll)
-	}
-	// Shutdown closes idle connections only, and waits for the others.
+	// Shutdown closes what is idle and waits for the rest. It must not wait for
+	// a quiet moment: a request that is taken late has no time to finish in.
 	_ = s.requests.Shutdown(ctx)
 	left := s.open.Load()
 	_ = s.requests.Close()
