--- /dev/null
+++ b/quorum/members_test.go
@@ -0,0 +1,113 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"auburnscale/peer"
+)
+
+func replica(id uint64, address, domain string) *peer.Replica {
+	return &peer.Replica{Id: id, Address: address, Domain: domain}
+}
+
+func threeVoters() *peer.Voters {
+	return &peer.Voters{Ids: []uint64{1, 2, 3}, Replicas: []*peer.Replica{replica(1, "a", "d1"), replica(2, "b", "d2"), replica(3, "c", "d3")}}
+}
+
+func planOf(v *peer.Voters, members ...MemberStatus) Plan {
+	return Plan{Self: 1, Current: v, Members: members, Want: 3, Patience: 3 * time.Second, Forget: 20 * time.Second}
+}
+
+// TestLostFolderIsReplaced follows a voter whose folder was lost: it comes back
+// under another id at the same address, and is a voter in two steps.
+func TestLostFolderIsReplaced(t *testing.T) {
+	p := planOf(threeVoters(), NewMemberStatus(2, 0, true), NewMemberStatus(3, time.Second, true))
+	p.Applicants = []*peer.Replica{replica(9, "c", "d3")}
+	next, _ := p.Next()
+	require.Equal(t, []uint64{1, 2}, next.Ids)
+	require.Equal(t, []uint64{9}, next.Learners)
+
+	p = planOf(next, NewMemberStatus(2, 0, true), NewMemberStatus(9, 0, false))
+	p.Applicants = []*peer.Replica{replica(9, "c", "d3")}
+	waiting, _ := p.Next()
+	require.Nil(t, waiting, "a learner that lags has no vote")
+
+	p.Members = []MemberStatus{NewMemberStatus(2, 0, true), NewMemberStatus(9, 0, true)}
+	next, _ = p.Next()
+	require.Equal(t, []uint64{1, 2, 9}, next.Ids)
+	require.Empty(t, next.Learners)
+}
+
+// TestSuccessorAtAnotherAddress follows a voter that is gone for good: its
+// successor votes before it leaves, so that no copy is given up early.
+func TestSuccessorAtAnotherAddress(t *testing.T) {
+	gone := NewMemberStatus(3, 5*time.Second, true)
+	p := planOf(threeVoters(), NewMemberStatus(2, 0, true), gone)
+	next, _ := p.Next()
+	require.Nil(t, next, "nobody stands by")
+
+	p.Applicants = []*peer.Replica{replica(4, "d", "d3")}
+	next, _ = p.Next()
+	require.Equal(t, []uint64{4}, next.Learners)
+	next, _ = planOf(next, NewMemberStatus(2, 0, true), gone, NewMemberStatus(4, 0, true)).Next()
+	require.Equal(t, []uint64{1, 2, 3, 4}, next.Ids)
+	next, _ = planOf(next, NewMemberStatus(2, 0, true), gone, NewMemberStatus(4, 0, true)).Next()
+	require.Equal(t, []uint64{1, 2, 4}, next.Ids)
+	require.Empty(t, next.Learners, "a silent voter is dropped")
+}
+
+func TestReturnedVoterStandsBy(t *testing.T) {
+	four := threeVoters()
+	four.Ids = append(four.Ids, 4)
+	four.Replicas = append(four.Replicas, replica(4, "d", "d3"))
+	next, _ := planOf(four, NewMemberStatus(2, 0, true), NewMemberStatus(3, 0, true), NewMemberStatus(4, 0, true)).Next()
+	require.Len(t, next.Ids, 3)
+	require.Len(t, next.Learners, 1, "one of the crowded domain stays as a learner")
+	require.Contains(t, []uint64{3, 4}, next.Learners[0])
+}
+
+// TestPlanChangesOneVoter draws groups and their state. Each step changes one
+// voter at most, never the leader, and adds only a learner that has caught up.
+func TestPlanChangesOneVoter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		current := &peer.Voters{}
+		var members []MemberStatus
+		caughtUp := map[uint64]bool{}
+		for id := uint64(1); id <= uint64(rapid.IntRange(1, 8).Draw(t, "size")); id++ {
+			learner := id > 1 && rapid.Bool().Draw(t, "learner")
+			if learner {
+				current.Learners = append(current.Learners, id)
+			} else {
+				current.Ids = append(current.Ids, id)
+			}
+			domain := rapid.SampledFrom([]string{"d1", "d2", "d3"}).Draw(t, "domain")
+			current.Replicas = append(current.Replicas, replica(id, string(rune('a'+id)), domain))
+			caughtUp[id] = rapid.Bool().Draw(t, "caught up")
+			silence := time.Duration(rapid.IntRange(0, 30).Draw(t, "silence")) * time.Second
+			if id > 1 {
+				members = append(members, NewMemberStatus(id, silence, caughtUp[id]))
+			}
+		}
+		p := planOf(current, members...)
+		p.Want = 2*rapid.IntRange(0, 3).Draw(t, "losses") + 1
+		if rapid.Bool().Draw(t, "applies") {
+			address := rapid.SampledFrom([]string{"c", "d", "z"}).Draw(t, "address")
+			p.Applicants = []*peer.Replica{replica(99, address, "d1")}
+		}
+		next, _ := p.Next()
+		if next == nil {
+			return
+		}
+		added, removed := missing(next.Ids, current.Ids), missing(current.Ids, next.Ids)
+		require.LessOrEqual(t, len(added)+len(removed), 1)
+		require.Contains(t, next.Ids, uint64(1))
+		for _, id := range added {
+			require.Contains(t, current.Learners, id)
+			require.True(t, caughtUp[id])
+		}
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -214,9 +214,7 @@
 	}
 	r.entries[row.Id] = &entry{row: next, heard: heard}
 	r.revision++
-	if next.State != peer.TargetRow_GONE {
-		r.supersede(next)
-	}
+	r.supersede(next)
 }
 
 // inherit fills a word of leaving, which names nothing but the id.
@@ -227,17 +225,19 @@
 }
 
 // supersede marks as gone whoever had the address before, or the row itself if
-// the address has a newer owner.
+// the address has, or had, a newer owner.
 func (r *Roster) supersede(row *peer.TargetRow) {
 	for id, other := range r.entries {
-		if id == row.Id || other.row.Address != row.Address || other.row.State == peer.TargetRow_GONE {
+		if id == row.Id || row.Address == "" || other.row.Address != row.Address {
 			continue
 		}
 		older := other
 		if other.row.BornMs > row.BornMs {
 			older = r.entries[row.Id]
 		}
-		r.set(older, func(o *peer.TargetRow) { o.State = peer.TargetRow_GONE })
+		if older.row.State != peer.TargetRow_GONE {
+			r.set(older, func(o *peer.TargetRow) { o.State, o.Silent = peer.TargetRow_GONE, false })
+		}
 	}
 }
 
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,160 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"auburnscale/drawn"
+	"auburnscale/peer"
+)
+
+func TestMain(m *testing.M) { drawn.Main(m) }
+
+type fakeClock struct{ at time.Duration }
+
+func (c *fakeClock) now() time.Duration { return c.at }
+
+func newRoster() (*Roster, *fakeClock) {
+	c := &fakeClock{at: time.Hour}
+	return New(c.now, 5*time.Second), c
+}
+
+func row(id, address string, born int64, seq uint64) *peer.TargetRow {
+	return &peer.TargetRow{Id: id, Service: "desk", Address: address, Domain: "d0", Slots: 4, State: peer.TargetRow_READY, BornMs: born, Seq: seq}
+}
+
+func state(r *Roster, id string) peer.TargetRow_State { return r.Snapshot().Target(id).GetState() }
+
+func TestLateWordDoesNotBringBack(t *testing.T) {
+	r, _ := newRoster()
+	require.True(t, r.Hear(row("e1", "1:1", 10, 1)))
+	leaving := row("e1", "1:1", 10, 5)
+	leaving.State = peer.TargetRow_DRAINING
+	require.True(t, r.Hear(leaving))
+	require.False(t, r.Hear(row("e1", "1:1", 10, 4)), "an older word")
+	require.Equal(t, peer.TargetRow_DRAINING, state(r, "e1"))
+	r.Hear(row("e1", "1:1", 10, 9))
+	require.Equal(t, peer.TargetRow_DRAINING, state(r, "e1"), "nobody comes back within a birth")
+	r.Hear(row("e1", "1:1", 11, 1))
+	require.Equal(t, peer.TargetRow_READY, state(r, "e1"), "a later birth is another target")
+}
+
+func TestAddressHasOneOwner(t *testing.T) {
+	r, _ := newRoster()
+	r.Hear(row("old", "1:1", 10, 1))
+	r.Hear(row("new", "1:1", 20, 1))
+	require.Equal(t, peer.TargetRow_GONE, state(r, "old"))
+	r.Hear(row("old", "1:1", 10, 9))
+	require.Equal(t, peer.TargetRow_READY, state(r, "new"), "a ghost's heartbeat changes nothing")
+	require.Equal(t, peer.TargetRow_GONE, state(r, "old"))
+	require.Len(t, r.Snapshot().Service("desk"), 1)
+}
+
+func TestLeaveWithoutBirth(t *testing.T) {
+	r, _ := newRoster()
+	r.Hear(row("e1", "1:1", 10, 1))
+	r.Hear(&peer.TargetRow{Id: "e1", State: peer.TargetRow_GONE})
+	require.Equal(t, peer.TargetRow_GONE, state(r, "e1"))
+
+	// Another instance that never heard the target takes the word as well, and
+	// the row that comes later by way of a third does not undo it.
+	other, clock := newRoster()
+	other.Hear(&peer.TargetRow{Id: "e1", State: peer.TargetRow_GONE})
+	older := row("e1", "1:1", 10, 1)
+	older.AgeMs = 400
+	other.Merge([]*peer.TargetRow{older})
+	require.Equal(t, peer.TargetRow_GONE, state(other, "e1"))
+	clock.at += time.Second
+	other.Hear(row("e1", "1:1", 30, 1))
+	require.Equal(t, peer.TargetRow_READY, state(other, "e1"))
+}
+
+func TestSilenceRemovesNothing(t *testing.T) {
+	r, clock := newRoster()
+	r.Hear(row("e1", "1:1", 10, 1))
+	clock.at += time.Minute
+	r.Tick()
+	require.True(t, r.Snapshot().Target("e1").Silent)
+	require.Len(t, r.Snapshot().Service("desk"), 1)
+	before := r.Snapshot().Revision()
+	r.Hear(row("e1", "1:1", 10, 2))
+	require.False(t, r.Snapshot().Target("e1").Silent)
+	require.Greater(t, r.Snapshot().Revision(), before)
+}
+
+// TestSilenceSpreads hands the flag to an instance that has the same word.
+func TestSilenceSpreads(t *testing.T) {
+	a, clockA := newRoster()
+	b, clockB := newRoster()
+	a.Hear(row("e1", "1:1", 10, 1))
+	b.Merge(a.Rows())
+	clockA.at += time.Minute
+	clockB.at += time.Minute
+	a.Tick()
+	b.Merge(a.Rows())
+	require.True(t, b.Snapshot().Target("e1").Silent)
+}
+
+func TestAwayEnds(t *testing.T) {
+	r, clock := newRoster()
+	r.Hear(row("e1", "1:1", 10, 1))
+	r.SetAway("e1", 3*time.Second)
+	r.Hear(row("e1", "1:1", 10, 2))
+	require.True(t, r.Snapshot().Target("e1").Away, "a heartbeat on the way does not end it")
+	other, _ := newRoster()
+	other.Merge(r.Rows())
+	require.True(t, other.Snapshot().Target("e1").Away)
+	clock.at += 4 * time.Second
+	r.Tick()
+	require.False(t, r.Snapshot().Target("e1").Away)
+}
+
+func TestHeartbeatAloneChangesNoRevision(t *testing.T) {
+	r, _ := newRoster()
+	r.Hear(row("e1", "1:1", 10, 1))
+	before := r.Snapshot().Revision()
+	r.Hear(row("e1", "1:1", 10, 2))
+	require.Equal(t, before, r.Snapshot().Revision())
+}
+
+// TestMergeOrderDoesNotMatter draws words of targets with unique births and
+// gives them to two instances in different orders.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var rows []*peer.TargetRow
+		for range rapid.IntRange(1, 12).Draw(t, "rows") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			born := int64(rapid.IntRange(1, 3).Draw(t, "born"))*10 + int64(id[0]-'a')
+			each := row(id, rapid.SampledFrom([]string{"1:1", "1:2"}).Draw(t, "address"), born, uint64(rapid.IntRange(1, 5).Draw(t, "seq")))
+			// A target keeps its address within a birth.
+			each.Address = []string{"1:1", "1:2"}[born%2]
+			each.State = peer.TargetRow_State(rapid.IntRange(1, 3).Draw(t, "state"))
+			rows = append(rows, each)
+		}
+		one, _ := newRoster()
+		two, _ := newRoster()
+		for _, each := range rows {
+			one.Merge([]*peer.TargetRow{proto.Clone(each).(*peer.TargetRow)})
+		}
+		for _, i := range rapid.Permutation(indexes(len(rows))).Draw(t, "order") {
+			two.Merge([]*peer.TargetRow{proto.Clone(rows[i]).(*peer.TargetRow)})
+		}
+		for _, id := range []string{"a", "b", "c"} {
+			x, y := one.Snapshot().Target(id), two.Snapshot().Target(id)
+			require.Equal(t, x.GetBornMs(), y.GetBornMs(), "%s of %v", id, rows)
+			require.Equal(t, x.GetState() == peer.TargetRow_READY, y.GetState() == peer.TargetRow_READY, "%s of %v", id, rows)
+		}
+	})
+}
+
+func indexes(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
