--- /dev/null
+++ b/retry/share_test.go
@@ -0,0 +1,100 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestShareFollowsRequests(t *testing.T) {
+	s := NewShare(0.2, 0, 10*time.Second)
+	require.False(t, s.Spend("lm", time.Second), "no request, no repeat")
+	for range 100 {
+		s.Request("lm", time.Second)
+	}
+	spent := 0
+	for s.Spend("lm", time.Second) {
+		spent++
+	}
+	require.Equal(t, 16, spent)
+	require.False(t, s.Spend("desk", time.Second), "each service has its own")
+	require.False(t, s.Spend("lm", 30*time.Second), "the window has passed, and its requests")
+}
+
+// TestSharesAddUp draws requests and repeats over several instances. Over any
+// window the repeats stay under the bound of the fleet.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, slack, window = 0.2, 50.0, 10 * time.Second
+		n := rapid.IntRange(1, 9).Draw(t, "instances")
+		shares := make([]*Share, n)
+		for i := range shares {
+			shares[i] = NewShare(ratio, slack, window)
+			shares[i].SetSharers(n)
+		}
+		type moment struct {
+			at     time.Duration
+			repeat bool
+		}
+		var log []moment
+		now := time.Minute
+		for range rapid.IntRange(50, 600).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond
+			share := shares[rapid.IntRange(0, n-1).Draw(t, "instance")]
+			if rapid.Bool().Draw(t, "request") {
+				share.Request("lm", now)
+				log = append(log, moment{now, false})
+			} else if share.Spend("lm", now) {
+				log = append(log, moment{now, true})
+			}
+		}
+		for _, from := range log {
+			requests, repeats, before := 0, 0, 0
+			for _, m := range log {
+				switch {
+				case m.at < from.at-window || m.at >= from.at+window:
+				case m.at < from.at:
+					if !m.repeat {
+						before++
+					}
+				case m.repeat:
+					repeats++
+				default:
+					requests++
+				}
+			}
+			require.LessOrEqual(t, float64(repeats), ratio*float64(max(requests, before))+slack)
+		}
+	})
+}
+
+func TestSharersNeverShrink(t *testing.T) {
+	s := NewShare(0, 90, 10*time.Second)
+	s.SetSharers(9)
+	s.SetSharers(1)
+	spent := 0
+	for s.Spend("lm", time.Second) {
+		spent++
+	}
+	require.Equal(t, 8, spent)
+}
+
+func TestSuspectsAddUp(t *testing.T) {
+	s := NewSuspects()
+	s.Note(1, time.Second)
+	s.Note(1, time.Second)
+	_, refused := s.Refused(1)
+	require.False(t, refused)
+	s.Tell([]Suspicion{{Fingerprint: 1, Crashes: 3}})
+	_, refused = s.Refused(1)
+	require.True(t, refused, "others saw the third")
+	s.Tell(nil)
+	s.Clear(1)
+	_, refused = s.Refused(1)
+	require.False(t, refused)
+	s.Note(2, time.Second)
+	require.Len(t, s.Own(2*time.Second), 1)
+	require.Empty(t, s.Own(2*time.Minute), "old suspicions are dropped")
+}
--- /dev/null
+++ b/route/plan_test.go
@@ -0,0 +1,149 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// staged returns a fleet of readers and runners over three failure domains.
+func staged(readers, runners int) *Fleet {
+	var targets []*Target
+	for i := range readers {
+		targets = append(targets, NewTarget(Spec{Name: fmt.Sprint("read", i), FailureDomain: fmt.Sprint("d", i%3), Slots: 64, Stage: Reading}))
+	}
+	for i := range runners {
+		targets = append(targets, NewTarget(Spec{Name: fmt.Sprint("run", i), FailureDomain: fmt.Sprint("d", i%3), Slots: 64}))
+	}
+	return NewFleet(targets, "d0", NewPrefixIndex(1000))
+}
+
+var placer = Placer{HandOver: 40 * time.Millisecond, Remote: 8 * time.Millisecond}
+
+func prompt(part uint64, shared, total int64) Prompt {
+	return Prompt{Pieces: []uint64{part}, Tokens: []int64{shared}, Total: total}
+}
+
+// TestSharedPartsHaveAHome asks from several instances for the same shared part.
+// All choose the same reader without a word between them.
+func TestSharedPartsHaveAHome(t *testing.T) {
+	homes := map[string]int{}
+	for part := range uint64(200) {
+		p := prompt(part*7919, 13000, 17000)
+		first := placer.Place(staged(6, 3), p, nil, time.Now())
+		require.NotNil(t, first.Reader)
+		for range 3 {
+			again := placer.Place(staged(6, 3), p, nil, time.Now())
+			require.Equal(t, first.Reader.Name(), again.Reader.Name())
+		}
+		homes[first.Reader.Name()]++
+	}
+	require.Len(t, homes, 6)
+	for name, n := range homes {
+		require.Less(t, n, 80, "%s has more than twice its part", name)
+	}
+}
+
+// TestHotPartSpreads sends one hot shared part again and again. Its home is left
+// once others would answer sooner, and not before.
+func TestHotPartSpreads(t *testing.T) {
+	f := staged(6, 3)
+	p := prompt(1, 13000, 17000)
+	used := map[string]int{}
+	for range 60 {
+		c := placer.Place(f, p, nil, time.Now())
+		if c.Reader == nil {
+			used[c.Runner.Name()]++
+			c.Runner.Begin(c.Work)
+			continue
+		}
+		used[c.Reader.Name()]++
+		c.Reader.Begin(c.Work)
+		f.index.Add(c.Reader, p.Pieces)
+	}
+	require.Greater(t, len(used), 3)
+	most := 0
+	for _, n := range used {
+		most = max(most, n)
+	}
+	require.Less(t, most, 30)
+}
+
+// TestPromptSwing has runners that read long prompts already. A short prompt
+// goes to a reader then, though it would be run directly on a calm fleet.
+func TestPromptSwing(t *testing.T) {
+	f := staged(2, 2)
+	short := prompt(5, 100, 400)
+	require.Nil(t, placer.Place(f, short, nil, time.Now()).Reader)
+	for _, target := range f.targets {
+		if target.Runs() {
+			target.Begin(5000)
+		}
+	}
+	require.NotNil(t, placer.Place(f, short, nil, time.Now()).Reader)
+}
+
+// TestOthersWorkCounts has another instance fill the home.
+func TestOthersWorkCounts(t *testing.T) {
+	f := staged(3, 2)
+	p := prompt(3, 1000, 9000)
+	home := placer.Place(f, p, nil, time.Now()).Reader
+	home.SetOthers(200_000, 40)
+	require.NotEqual(t, home, placer.Place(f, p, nil, time.Now()).Reader)
+	home.SetOthers(0, 0)
+	require.Equal(t, home, placer.Place(f, p, nil, time.Now()).Reader)
+}
+
+func TestAwaySilentAndAvoided(t *testing.T) {
+	f := staged(0, 3)
+	f.targets[0].SetAway(true)
+	f.targets[1].Decline(time.Now())
+	c := placer.Place(f, Prompt{}, nil, time.Now())
+	require.Equal(t, "run2", c.Runner.Name())
+	require.Nil(t, placer.Place(f, Prompt{}, []string{"run2"}, time.Now()).Runner)
+	require.NotNil(t, placer.Place(f, Prompt{}, []string{"run2"}, time.Now().Add(time.Minute)).Runner, "a rest ends")
+	f.targets[0].SetAway(false)
+	f.targets[2].SetSilent(true)
+	require.Equal(t, "run0", placer.Place(f, Prompt{}, nil, time.Now()).Runner.Name())
+}
+
+func TestDeclinesRestLonger(t *testing.T) {
+	target := NewTarget(Spec{Name: "e"})
+	now := time.Now()
+	var rests []time.Duration
+	for range 6 {
+		target.Decline(now)
+		rests = append(rests, time.Duration(target.awayUntil.Load()-now.UnixNano()))
+	}
+	require.Equal(t, []time.Duration{firstRest, 2 * firstRest, 4 * firstRest, maxRest, maxRest, maxRest}, rests)
+	target.Took()
+	target.Decline(now)
+	require.Equal(t, firstRest, time.Duration(target.awayUntil.Load()-now.UnixNano()))
+}
+
+func TestRatesAreLearned(t *testing.T) {
+	r := NewRates()
+	for range 500 {
+		r.Learn(10_000, 100*time.Millisecond, true)
+		r.Learn(10_000, time.Second, false)
+	}
+	require.InEpsilon(t, 100_000, r.Read(), 0.01)
+	require.InEpsilon(t, 10_000, r.Mixed(), 0.01)
+	r.Learn(10, time.Hour, true)
+	require.InEpsilon(t, 100_000, r.Read(), 0.01, "a tiny reading tells nothing")
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []int{9, 60, 620} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := staged(size*2/3, size-size*2/3)
+			p := prompt(7, 13000, 17000)
+			b.ReportAllocs()
+			for b.Loop() {
+				placer.Place(f, p, nil, time.Time{})
+			}
+		})
+	}
+}
