Let new replicas answer from their first message on; drop what left

Ruled out: lost messages (the learner did not enrol, so it heard the leader). Change: members that others name give addresses until the log does; a member that leaves is forgotten; a new replica enrols at once; promotion comes before other applications.

--- a/quorum/members.go
+++ b/quorum/members.go
@@ -57,20 +57,23 @@
 // one stays. Each step changes one voter at most, and a voter is only ever added
 // from the learners that have caught up.
 func (p Plan) Next() (*peer.Voters, string) {
+	voters := len(p.Current.Ids)
+	silent := p.silentVoter()
+	learner := p.standby()
+	if learner != 0 && voters < p.Want {
+		return p.promote(learner), "a learner has caught up"
+	}
 	for _, a := range p.Applicants {
 		if next := p.admit(a); next != nil {
 			return next, "a replica asked to take part"
 		}
 	}
-	voters := len(p.Current.Ids)
-	silent := p.silentVoter()
-	learner := p.standby()
 	switch {
 	case voters > p.Want && silent != 0:
 		return p.without(silent), "a silent voter has a successor"
 	case voters > p.Want:
 		return p.without(p.surplus()), "there are more voters than wanted"
-	case learner != 0 && (voters < p.Want || silent != 0):
+	case learner != 0 && silent != 0:
 		return p.promote(learner), "a learner has caught up"
 	}
 	if id := p.lostLearner(); id != 0 {
--- a/quorum/membership.go
+++ b/quorum/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,10 +35,18 @@
 		}
 	}
 	n.append(&peer.Entry{Voters: next})
+	n.forgetLeft()
 	n.broadcast(now, true)
 	return nil
 }
 
+// forgetLeft drops what is known of replicas that are no members any more. One
+// that comes back is a new member, whose silence counts from then on.
+func (n *Node) forgetLeft() {
+	members := n.others()
+	maps.DeleteFunc(n.peers, func(id uint64, _ *progress) bool { return !slices.Contains(members, id) })
+}
+
 // changeSettled refuses a change while an earlier one, or the first entry of
 // this term, is not committed.
 func (n *Node) changeSettled() error {
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -136,7 +136,7 @@
 }
 
 func (n *Node) receiveAppendAnswer(now time.Duration, m *peer.Message) {
-	if n.role != Leader {
+	if n.role != Leader || !slices.Contains(n.others(), m.From) {
 		return
 	}
 	p := n.progressOf(m.From, now)
--- a/replica/keeper.go
+++ b/replica/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -33,6 +34,9 @@
 	Want int
 	// Known returns the peer addresses of other control instances.
 	Known func() []string
+	// Named returns the members that other control instances name. A replica
+	// that was just added hears the leader before its log says where it is.
+	Named func() []*peer.Replica
 }
 
 const (
@@ -103,17 +107,32 @@
 		case <-ticker.C:
 		}
 		standing := k.voter.Standing()
-		k.senders.Follow(Addresses(standing.Voters()))
+		k.senders.Follow(k.addresses(standing))
 		if standing.MayAct(clock.Now()) {
 			k.plan(standing)
 			continue
 		}
-		if standing.Silence() > enrolAfter {
+		if standing.Silence() > enrolAfter || !k.isMember(standing) {
 			k.enrol()
 		}
 	}
 }
 
+// isMember reports whether this replica takes part by its own log. A new one
+// does not wait for a silence.
+func (k *Keeper) isMember(standing *voter.Standing) bool {
+	_, ok := Addresses(standing.Voters())[k.config.Self.Id]
+	return ok
+}
+
+// addresses returns where messages go: by this replica's own log first, and by
+// the word of others for members that the log does not hold yet.
+func (k *Keeper) addresses(standing *voter.Standing) map[uint64]string {
+	addresses := Addresses(&peer.Voters{Replicas: k.config.Named()})
+	maps.Copy(addresses, Addresses(standing.Voters()))
+	return addresses
+}
+
 // Addresses returns the peer addresses of a voter set by id.
 func Addresses(v *peer.Voters) map[uint64]string {
 	addresses := map[uint64]string{}
--- a/serve/control.go
+++ b/serve/control.go
@@ -123,7 +123,7 @@
 	c.watching = watch.NewServer(c.incarnation, c.voter, c.roster)
 	c.pool = watch.NewPool()
 	c.watcher = watch.NewClient(self.Address, c.outgoing.client, c, c.logger)
-	c.keeper = replica.New(replica.Config{Self: self, Want: 2*f.Losses + 1, Known: c.watcher.Addresses}, c.voter, c.senders, c.outgoing.client, c.logger)
+	c.keeper = replica.New(replica.Config{Self: self, Want: 2*f.Losses + 1, Known: c.watcher.Addresses, Named: c.watcher.Named}, c.voter, c.senders, c.outgoing.client, c.logger)
 	c.buildMeter()
 }
 
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -29,6 +29,10 @@
 	handOverCost = 40 * time.Millisecond
 	// remoteCost is what another failure domain costs, in time and in traffic.
 	remoteCost = 8 * time.Millisecond
+	// cutOffContacts is after how many contact times without a leader a started
+	// instance takes itself for cut off. An election and the repair of the
+	// control group take one or two.
+	cutOffContacts = 3
 	// stopNotice covers two questions of the balancer, which come every second.
 	stopNotice = 2600 * time.Millisecond
 )
@@ -139,7 +143,7 @@
 // leader under its lease has answered, or none could be reached for so long that
 // this instance is cut off and serves on by what it was given.
 func (e *Entry) trusted() bool {
-	return e.current.Load() || clock.Now()-e.started > 2*e.settings.Fleet.Contact.Span()
+	return e.current.Load() || clock.Now()-e.started > cutOffContacts*e.settings.Fleet.Contact.Span()
 }
 
 // Ready reports whether the instance has a configuration.
--- a/watch/client.go
+++ b/watch/client.go
@@ -50,6 +50,10 @@
 	loops  map[string]*loop
 	seeds  map[string]bool
 	named  map[string]bool
+	// members are the control instances as last named by the one that voted in
+	// the newest term.
+	members []*peer.Replica
+	term    uint64
 }
 
 type loop struct {
@@ -99,6 +103,13 @@
 	return list
 }
 
+// Named returns the members of the control group as last named.
+func (c *Client) Named() []*peer.Replica {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.members
+}
+
 func (c *Client) startLocked(address string) {
 	if address == c.self || address == "" || c.loops[address] != nil || c.ctx.Err() != nil {
 		return
@@ -110,12 +121,14 @@
 }
 
 // learn watches the control instances that an answer names.
-func (c *Client) learn(replicas []*peer.Replica) {
-	if len(replicas) == 0 {
-		return
-	}
+func (c *Client) learn(answer *peer.WatchResponse) {
+	replicas := answer.Control
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if len(replicas) == 0 || answer.Term < c.term {
+		return
+	}
+	c.members, c.term = replicas, answer.Term
 	c.named = map[string]bool{}
 	for _, r := range replicas {
 		c.named[r.Address] = true
@@ -173,6 +186,6 @@
 	if answer.Full || l.server == answer.Server {
 		l.server, l.roster = answer.Server, answer.Roster
 	}
-	l.client.learn(answer.Control)
+	l.client.learn(answer)
 	return true
 }
--- a/watch/server.go
+++ b/watch/server.go
@@ -170,7 +170,7 @@
 	// The lease is looked at after the reading: what was read was current while
 	// it held.
 	a.Current = current && s.voter.MayAct()
-	a.Control = s.voter.Standing().Voters().GetReplicas()
+	a.Control, a.Term = s.voter.Standing().Voters().GetReplicas(), s.voter.Standing().Term()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	a.Entries = s.entriesLocked()
