Merge absences as the longest word, plan stages over the whole service

Also: silent readers and repeatable calls are left for another target in time, a first holder does not wait for a former one, voters elect quicker. Ruled out: that engines decline for being full (their load was 0 of 64). TestLostFolderIsRepaired failed once: it stopped a second voter before the returned replica voted, which no group of three survives; the test now waits for the vote.

--- a/authority/meter.go
+++ b/authority/meter.go
@@ -60,7 +60,9 @@
 	logger    *event.Logger
 	// since is when this process began to hold the lease without a break; 0 if
 	// it does not hold it.
-	since    time.Duration
+	since time.Duration
+	// first is true if nobody had acted outward before this process did.
+	first    bool
 	stop     chan struct{}
 	done     chan struct{}
 	stopOnce sync.Once
@@ -111,8 +113,9 @@
 	}
 	if m.since == 0 {
 		m.since = clock.Now()
+		m.first = !m.acted()
 	}
-	if clock.Now()-m.since < m.config.Lease {
+	if clock.Now()-m.since < m.config.Lease && !m.first {
 		return
 	}
 	m.authority.Resolve(ctx)
@@ -127,6 +130,15 @@
 	}
 }
 
+// acted reports whether anyone has acted outward before. Every act is committed
+// before it is taken, so that an empty list means that there is no former holder
+// to wait for.
+func (m *Meter) acted() bool {
+	acted := false
+	m.authority.voter.Read(func(c *control.Machine) { acted = len(c.Intents()) > 0 })
+	return acted
+}
+
 // closeNext commits the figures of the next window if they are complete, or
 // waited for long enough.
 func (m *Meter) closeNext(ctx context.Context) bool {
--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -84,7 +84,7 @@
 		alive[row.Id] = true
 		k := f.know(row, state, now)
 		k.target.SetSilent(row.Silent)
-		k.target.SetAway(row.Away)
+		k.target.SetAway(row.AwayMs > 0)
 		k.target.SetSharers(int(f.sharers.Load()))
 		switch {
 		case k.wrong:
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -18,6 +19,17 @@
 	maxHandleBytes = 64 << 10
 )
 
+const (
+	// leastReadWait and readWaitFactor bound the wait for a prompt to be read
+	// elsewhere, by the estimate. Beyond them the reader is taken for lost.
+	leastReadWait  = 700 * time.Millisecond
+	readWaitFactor = 4
+	// leastTryWait and tryWaitObjectives bound the wait for an answer that
+	// another target may give as well.
+	leastTryWait      = 300 * time.Millisecond
+	tryWaitObjectives = 3
+)
+
 // maxOffers bounds how many runners are offered the cache of a read prompt. One
 // that declines may have lost it.
 const maxOffers = 2
@@ -69,7 +81,10 @@
 	began := time.Now()
 	c.reader, c.unread = t.Name(), p.Work
 	defer func() { t.Prefilled(p.Work); t.End(); c.readTime += time.Since(began) }()
-	reply, err := c.server.parts.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), ReadOnly: true}))
+	// A read may be repeated, so that a reader that is silent costs little.
+	ctx, cancel := context.WithTimeout(c.ctx, max(leastReadWait, readWaitFactor*p.First))
+	defer cancel()
+	reply, err := c.server.parts.Dialer.Send(ctx, t.Address(), c.request(Dispatch{Target: t.Name(), ReadOnly: true}))
 	if err != nil {
 		c.noteError(t, err)
 		return ""
@@ -129,7 +144,9 @@
 	if c.sends > 0 && !c.repeat() {
 		return false, c.noTarget()
 	}
-	reply, err := c.server.parts.Dialer.Send(c.ctx, t.Address(), c.request(d))
+	ctx, cancel := c.tryContext()
+	defer cancel()
+	reply, err := c.server.parts.Dialer.Send(ctx, t.Address(), c.request(d))
 	if err != nil {
 		return c.sendFailed(t, err)
 	}
@@ -151,6 +168,15 @@
 	return c.deliver(t, reply, said)
 }
 
+// tryContext bounds one try of a request that another target may run as well,
+// as long as there is another try.
+func (c *call) tryContext() (context.Context, context.CancelFunc) {
+	if c.route.Repetition != catalog.Idempotent || c.runs+1 >= c.route.Attempts {
+		return context.WithCancel(c.ctx)
+	}
+	return context.WithTimeout(c.ctx, max(leastTryWait, tryWaitObjectives*c.route.Objective))
+}
+
 func (c *call) sendFailed(t *route.Target, err error) (bool, *failure) {
 	if exchange.NotSent(err) {
 		c.noteError(t, err)
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -116,7 +116,7 @@
 	for _, c := range changes {
 		require.Equal(t, peer.TargetRow_PREFILL, c.Stage)
 	}
-	require.Equal(t, "e03", changes[1].Target, "reclaimable ones become readers first")
+	require.Equal(t, "e03", changes[0].Target, "reclaimable ones become readers first")
 }
 
 // TestCutOffDomainServes has a failure domain without an engine that makes
--- a/plan/stage.go
+++ b/plan/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"auburnscale/peer"
@@ -18,54 +19,107 @@
 // readers read at full speed.
 const runnerShare = 0.34
 
-// Stages returns the changes that bring each failure domain to its share of
-// engines that make answers: one at least, so that a domain that is cut off
-// serves on. It returns none while the present numbers are at most one off, but
+// Stages returns the changes that bring a service's engines to the share that
+// makes answers. Every failure domain keeps one that does, so that it serves on
+// when it is cut off. While the number is at most one off there is no change, but
 // for a domain without any.
 func Stages(rows []*peer.TargetRow) []Change {
-	byDomain := map[string][]*peer.TargetRow{}
+	domains := map[string]*domainEngines{}
+	total, runners := 0, 0
 	for _, row := range rows {
-		if row.Stage != peer.TargetRow_STAGE_UNSPECIFIED && !row.Silent {
-			byDomain[row.Domain] = append(byDomain[row.Domain], row)
+		if row.Stage == peer.TargetRow_STAGE_UNSPECIFIED || row.Silent || row.AwayMs > 0 {
+			continue
+		}
+		d := domains[row.Domain]
+		if d == nil {
+			d = &domainEngines{}
+			domains[row.Domain] = d
+		}
+		total++
+		if row.Stage == peer.TargetRow_DECODE {
+			runners++
+			d.runners = append(d.runners, row)
+		} else {
+			d.readers = append(d.readers, row)
 		}
 	}
 	var changes []Change
-	for _, engines := range byDomain {
-		changes = append(changes, stagesOf(engines)...)
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		if d := domains[name]; len(d.runners) == 0 {
+			changes = append(changes, d.toRunner())
+			runners++
+		}
+	}
+	want := max(len(domains), int(runnerShare*float64(total)+0.5))
+	if off := runners - want; off > 1 {
+		changes = append(changes, toReaders(domains, off)...)
+	} else if off < -1 {
+		changes = append(changes, toRunners(domains, -off)...)
 	}
-	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Target, b.Target) })
 	return changes
 }
 
-func stagesOf(engines []*peer.TargetRow) []Change {
-	want := max(1, int(runnerShare*float64(len(engines))+0.5))
-	var runners, readers []*peer.TargetRow
-	for _, e := range engines {
-		if e.Stage == peer.TargetRow_DECODE {
-			runners = append(runners, e)
-		} else {
-			readers = append(readers, e)
+// domainEngines are the engines of one failure domain by what they do.
+type domainEngines struct{ runners, readers []*peer.TargetRow }
+
+// toRunner takes a reader, if possible one that stays.
+func (d *domainEngines) toRunner() Change {
+	slices.SortStableFunc(d.readers, func(a, b *peer.TargetRow) int { return cmp.Compare(rank(b), rank(a)) })
+	e := d.readers[0]
+	d.readers = d.readers[1:]
+	d.runners = append(d.runners, e)
+	return Change{e.Id, peer.TargetRow_DECODE}
+}
+
+// toReader takes a runner, if possible one that can be reclaimed: a reader that
+// is lost harms least.
+func (d *domainEngines) toReader() Change {
+	slices.SortStableFunc(d.runners, func(a, b *peer.TargetRow) int { return cmp.Compare(rank(a), rank(b)) })
+	e := d.runners[0]
+	d.runners = d.runners[1:]
+	return Change{e.Id, peer.TargetRow_PREFILL}
+}
+
+func rank(row *peer.TargetRow) int {
+	if row.Reclaimable {
+		return 0
+	}
+	return 1
+}
+
+// toReaders takes runners from the domains that have the most.
+func toReaders(domains map[string]*domainEngines, n int) []Change {
+	var changes []Change
+	for range n {
+		d := most(domains, func(d *domainEngines) int { return len(d.runners) })
+		if len(d.runners) < 2 {
+			break
 		}
+		changes = append(changes, d.toReader())
 	}
+	return changes
+}
+
+// toRunners takes readers from the domains that have the most.
+func toRunners(domains map[string]*domainEngines, n int) []Change {
 	var changes []Change
-	switch {
-	case len(runners) == 0:
-		changes = append(changes, Change{readers[0].Id, peer.TargetRow_DECODE})
-	case len(runners) > want:
-		// What can be reclaimed reads prompts, which harms least if it is lost.
-		slices.SortStableFunc(runners, func(a, b *peer.TargetRow) int { return cmp.Compare(order(a), order(b)) })
-		for _, e := range runners[:len(runners)-want] {
-			changes = append(changes, Change{e.Id, peer.TargetRow_PREFILL})
+	for range n {
+		d := most(domains, func(d *domainEngines) int { return len(d.readers) })
+		if len(d.readers) == 0 {
+			break
 		}
-	case len(runners) < want-1:
-		changes = append(changes, Change{readers[0].Id, peer.TargetRow_DECODE})
+		changes = append(changes, d.toRunner())
 	}
 	return changes
 }
 
-func order(row *peer.TargetRow) int {
-	if row.Reclaimable {
-		return 0
+// most returns the domain with the highest count, the first by name among equals.
+func most(domains map[string]*domainEngines, count func(*domainEngines) int) *domainEngines {
+	var best *domainEngines
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		if d := domains[name]; best == nil || count(d) > count(best) {
+			best = d
+		}
 	}
-	return 1
+	return best
 }
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -40,6 +40,15 @@
 	ElectionSpread: 800 * time.Millisecond,
 }
 
+// QuickTiming suits voters a few milliseconds apart that must elect another
+// leader within a second or two. An election takes 0.8 to 1.3 s.
+var QuickTiming = Timing{
+	Heartbeat:      80 * time.Millisecond,
+	Lease:          620 * time.Millisecond,
+	Promise:        700 * time.Millisecond,
+	ElectionSpread: 500 * time.Millisecond,
+}
+
 const (
 	// maxAppendEntries and maxAppendBytes bound one APPEND message.
 	maxAppendEntries = 512
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -79,9 +79,6 @@
 		return false
 	}
 	before := r.revision
-	if known != nil && known.awayUntil > r.now() && row.Stage == known.row.Stage {
-		row.Away = true
-	}
 	r.merge(row, 0)
 	r.publish(before)
 	return true
@@ -94,6 +91,7 @@
 	before := r.revision
 	for _, row := range rows {
 		r.merge(row, time.Duration(row.AgeMs)*time.Millisecond)
+		r.noteAway(row)
 	}
 	r.publish(before)
 }
@@ -114,15 +112,12 @@
 		if silent := now-e.heard > r.silence; silent != e.row.Silent {
 			r.set(e, func(row *peer.TargetRow) { row.Silent = silent })
 		}
-		if e.row.Away && now > e.awayUntil {
-			r.set(e, func(row *peer.TargetRow) { row.Away = false })
-		}
 	}
 	r.publish(before)
 }
 
 // SetAway notes that the target was ordered to change its stage and takes
-// nothing for the time.
+// nothing until it says that it did, or the time is over.
 func (r *Roster) SetAway(id string, span time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -131,11 +126,44 @@
 		return
 	}
 	before := r.revision
-	e.awayUntil = r.now() + span
-	r.set(e, func(row *peer.TargetRow) { row.Away = true })
+	r.away(e, r.now()+span)
+	r.publish(before)
+}
+
+// Expire ends the absences whose time is over.
+func (r *Roster) Expire() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	before := r.revision
+	now := r.now()
+	for _, e := range r.entries {
+		if e.row.AwayMs > 0 && now > e.awayUntil {
+			r.set(e, func(row *peer.TargetRow) { row.AwayMs = 0 })
+		}
+	}
 	r.publish(before)
 }
 
+// away prolongs an absence. The longest word wins, in whatever order they come.
+func (r *Roster) away(e *entry, until time.Duration) {
+	if until <= e.awayUntil+flagSlack {
+		return
+	}
+	e.awayUntil = until
+	if e.row.AwayMs == 0 {
+		r.set(e, func(row *peer.TargetRow) { row.AwayMs = 1 })
+	}
+}
+
+// noteAway takes what another instance says of an absence. It holds for the
+// stage that the target had then.
+func (r *Roster) noteAway(row *peer.TargetRow) {
+	e := r.entries[row.Id]
+	if row.AwayMs > 0 && e != nil && e.row.Stage == row.Stage && e.row.BornMs == row.BornMs && e.row.State != peer.TargetRow_GONE {
+		r.away(e, r.now()+time.Duration(row.AwayMs)*time.Millisecond)
+	}
+}
+
 // merge applies one row that was heard the age ago.
 func (r *Roster) merge(row *peer.TargetRow, age time.Duration) {
 	heard := r.now() - age
@@ -176,20 +204,15 @@
 // refresh takes the later of two rows that say the same, without a change of
 // the revision unless something else in the row differs.
 func (r *Roster) refresh(known *entry, row *peer.TargetRow, heard time.Duration) {
-	if row.Seq == known.row.Seq && heard >= known.heard-flagSlack && (row.Silent != known.row.Silent || row.Away != known.row.Away) && known.awayUntil < r.now() {
-		r.set(known, func(o *peer.TargetRow) { o.Silent, o.Away = row.Silent, row.Away })
+	if row.Seq == known.row.Seq && heard >= known.heard-flagSlack && row.Silent != known.row.Silent {
+		r.set(known, func(o *peer.TargetRow) { o.Silent = row.Silent })
 	}
 	known.heard = max(known.heard, heard)
 	if row.Seq <= known.row.Seq {
 		return
 	}
 	if differs(known.row, row) {
-		until := known.awayUntil
 		r.insert(row, known.heard)
-		if next := r.entries[row.Id]; until > r.now() && next.row.Stage == known.row.Stage {
-			next.awayUntil = until
-			r.set(next, func(o *peer.TargetRow) { o.Away = true })
-		}
 		return
 	}
 	next := proto.Clone(known.row).(*peer.TargetRow)
@@ -199,7 +222,7 @@
 
 func differs(a, b *peer.TargetRow) bool {
 	return a.Service != b.Service || a.Address != b.Address || a.Domain != b.Domain || a.Slots != b.Slots ||
-		a.Stage != b.Stage || a.Reclaimable != b.Reclaimable || a.Silent != b.Silent || a.Away != b.Away || (a.ColdMs > 0) != (b.ColdMs > 0)
+		a.Stage != b.Stage || a.Reclaimable != b.Reclaimable || a.Silent != b.Silent || (a.ColdMs > 0) != (b.ColdMs > 0)
 }
 
 func (r *Roster) insert(row *peer.TargetRow, heard time.Duration) {
@@ -212,7 +235,12 @@
 	if known := r.entries[row.Id]; known != nil && next.Address == "" {
 		next = inherit(next, known.row)
 	}
-	r.entries[row.Id] = &entry{row: next, heard: heard}
+	e := &entry{row: next, heard: heard}
+	next.AwayMs = 0
+	if known := r.entries[row.Id]; known != nil && sameBirth(known.row, next) && known.row.Stage == next.Stage {
+		e.awayUntil, next.AwayMs = known.awayUntil, known.row.AwayMs
+	}
+	r.entries[row.Id] = e
 	r.revision++
 	r.supersede(next)
 }
@@ -287,8 +315,12 @@
 	now := r.now()
 	var rows []*peer.TargetRow
 	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
-		row := proto.Clone(r.entries[id].row).(*peer.TargetRow)
-		row.AgeMs = max(0, (now - r.entries[id].heard).Milliseconds())
+		e := r.entries[id]
+		row := proto.Clone(e.row).(*peer.TargetRow)
+		row.AgeMs = max(0, (now - e.heard).Milliseconds())
+		if row.AwayMs > 0 {
+			row.AwayMs = max(1, (e.awayUntil - now).Milliseconds())
+		}
 		rows = append(rows, row)
 	}
 	return rows
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -99,18 +99,42 @@
 	require.True(t, b.Snapshot().Target("e1").Silent)
 }
 
-func TestAwayEnds(t *testing.T) {
-	r, clock := newRoster()
-	r.Hear(row("e1", "1:1", 10, 1))
-	r.SetAway("e1", 3*time.Second)
-	r.Hear(row("e1", "1:1", 10, 2))
-	require.True(t, r.Snapshot().Target("e1").Away, "a heartbeat on the way does not end it")
-	other, _ := newRoster()
-	other.Merge(r.Rows())
-	require.True(t, other.Snapshot().Target("e1").Away)
-	clock.at += 4 * time.Second
-	r.Tick()
-	require.False(t, r.Snapshot().Target("e1").Away)
+// TestAwaySpreads has two control instances, one of which hears the target and
+// the other of which ordered it. The word of the absence wins wherever it comes,
+// until the target says that it has the other stage.
+func TestAwaySpreads(t *testing.T) {
+	hears, clock := newRoster()
+	orders, _ := newRoster()
+	entry, _ := newRoster()
+	before := row("e1", "1:1", 10, 1)
+	before.Stage = peer.TargetRow_DECODE
+	hears.Hear(before)
+	orders.Merge(hears.Rows())
+	entry.Merge(hears.Rows())
+	orders.SetAway("e1", 9*time.Second)
+	entry.Merge(orders.Rows())
+	require.NotZero(t, entry.Snapshot().Target("e1").AwayMs)
+	later := row("e1", "1:1", 10, 2)
+	later.Stage = peer.TargetRow_DECODE
+	hears.Hear(later)
+	entry.Merge(hears.Rows())
+	require.NotZero(t, entry.Snapshot().Target("e1").AwayMs, "a heartbeat on the way does not end it")
+	hears.Merge(orders.Rows())
+	require.NotZero(t, hears.Snapshot().Target("e1").AwayMs)
+
+	back := row("e1", "1:1", 10, 3)
+	back.Stage = peer.TargetRow_PREFILL
+	hears.Hear(back)
+	entry.Merge(hears.Rows())
+	require.Zero(t, entry.Snapshot().Target("e1").AwayMs)
+	entry.Merge(orders.Rows())
+	require.Zero(t, entry.Snapshot().Target("e1").AwayMs, "an older word does not bring it back")
+
+	require.NotZero(t, orders.Snapshot().Target("e1").AwayMs)
+	clock.at += time.Minute
+	orders.now = clock.now
+	orders.Expire()
+	require.Zero(t, orders.Snapshot().Target("e1").AwayMs, "an absence ends by itself")
 }
 
 func TestHeartbeatAloneChangesNoRevision(t *testing.T) {
--- a/serve/control.go
+++ b/serve/control.go
@@ -115,7 +115,7 @@
 	self := &peer.Replica{Id: identity.Self.Id, Address: ownPeerAddress(f), Domain: c.settings.FailureDomain}
 	c.senders = link.NewSenders(c.outgoing.client, replica.Addresses(founders), self.Id)
 	c.voter = voter.New(voter.Config{
-		ID: self.Id, InitialVoters: founders.GetIds(), Replicas: founders.GetReplicas(), Timing: quorum.DefaultTiming,
+		ID: self.Id, InitialVoters: founders.GetIds(), Replicas: founders.GetReplicas(), Timing: quorum.QuickTiming,
 		Limits:      control.Limits{ClaimRetain: c.settings.Control.ClaimRetain.Span()},
 		Incarnation: c.incarnation, Seed: uint64(clock.Now()), CompactEntries: compactEntries,
 	}, c.folder, c.senders, c.logger)
@@ -135,7 +135,7 @@
 	config := authority.MeterConfig{
 		Window: f.UsageWindow.Span(), Late: f.UsageLate.Span(), Lease: f.Lease.Span(), Encode: platform.EncodeUsage,
 		Planner: &steward{
-			voter: c.voter, roster: c.roster, document: c.snapshot, engines: engines, logger: c.logger, tried: map[string]time.Duration{},
+			voter: c.voter, roster: c.roster, document: c.snapshot, engines: engines, logger: c.logger, announce: f.Announce.Span(), tried: map[string]time.Duration{},
 			ordered:  map[string]time.Duration{},
 			purchase: f.Platform != "" && slices.Contains(f.Duties, settings.PurchaseDuty),
 		},
@@ -257,6 +257,7 @@
 			return
 		case <-ticker.C:
 			c.roster.Tick()
+			c.roster.Expire()
 		}
 	}
 }
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -196,6 +196,7 @@
 			e.take(document)
 		case <-changed:
 		case <-ticker.C:
+			e.roster.Expire()
 		}
 	}
 }
--- a/serve/fleet_test.go
+++ b/serve/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -39,8 +40,9 @@
 }
 
 type runningMember struct {
-	cancel context.CancelFunc
-	ended  chan error
+	process Reloader
+	cancel  context.CancelFunc
+	ended   chan error
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -95,7 +97,7 @@
 		return err == nil
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &runningMember{cancel: cancel, ended: make(chan error, 1)}
+	m := &runningMember{process: p, cancel: cancel, ended: make(chan error, 1)}
 	f.running[name] = m
 	go func() { m.ended <- p.Run(ctx) }()
 }
@@ -253,7 +255,6 @@
 		require.NoError(t, os.RemoveAll(f.data(host)))
 		f.control(host)
 		f.awaitRead(host, version, "/a/")
-		// The returned one must count before the next is lost.
 		f.awaitVoter(host)
 		version++
 		f.replace(host, version, "/a/")
@@ -263,10 +264,15 @@
 	}
 }
 
-// awaitVoter waits until the others can spare each other: a change is committed
-// with every second one stopped only if the returned replica votes.
+// awaitVoter waits until the returned replica is a voter, and shows that it
+// counts: the next instance is stopped, and the two that are left commit.
 func (f *fleet) awaitVoter(host int) {
 	f.t.Helper()
+	v := f.running[fmt.Sprint("control", host)].process.(*Control).voter
+	f.await(fmt.Sprintf("host %d votes again", host), func() bool {
+		voters := v.Standing().Voters()
+		return slices.Contains(voters.Ids, v.ID()) && len(voters.Ids) == 3
+	})
 	other := host%3 + 1
 	f.stop(fmt.Sprint("control", other))
 	f.awaitAnyRead(host)
--- a/serve/steward.go
+++ b/serve/steward.go
@@ -28,7 +28,7 @@
 	stewardInterval = time.Second
 	// settleTime is how long the fleet must look the same before engines change
 	// their stage: starts and restarts come in groups.
-	settleTime = 1500 * time.Millisecond
+	settleTime = 700 * time.Millisecond
 	// orderAgain is when an order that has not taken effect is given once more.
 	orderAgain = 6 * time.Second
 	// stageAgain is when an engine that was ordered is looked at once more. It
@@ -50,6 +50,9 @@
 	purchase bool
 	logger   *event.Logger
 
+	// announce is the time between two heartbeats of a target.
+	announce time.Duration
+
 	looked   time.Duration
 	revision uint64
 	steady   time.Duration
@@ -105,6 +108,11 @@
 func (s *steward) purchases(service *catalog.Service, rows []*peer.TargetRow, now time.Duration) []authority.Action {
 	counts := plan.CountTargets(rows)
 	last := s.lastOrders(service.Name)
+	if len(last) == 0 && now-s.steady < s.announce {
+		// The first orders go by the targets present at first, which announce
+		// themselves within one heartbeat.
+		return nil
+	}
 	var actions []authority.Action
 	starting := func(domain string) bool {
 		at, ordered := s.ordered[service.Name+"/"+domain]
@@ -221,8 +229,8 @@
 }
 
 // switchSlack is what an engine may take beyond its switching time until its
-// heartbeat says so; running work comes first.
-const switchSlack = time.Second
+// heartbeat says that it is back: running work comes first, and may be long.
+const switchSlack = 6 * time.Second
 
 // Send sends the committed order to the engine that it was meant for.
 func (s stageSender) Send(ctx context.Context, target string, epoch uint64, payload []byte) (int, string, error) {
