Keep connections to targets between exchanges

Hazards, each with a test: a late answer to an earlier request is skipped by its id, a byte on an idle connection or its close drops it, an early answer before a long body ends it, unframed and cut answers are not kept; what may run once and is no stream gets a connection of its own.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -67,7 +67,8 @@
 // A Dialer represents the outgoing side of one instance. It is safe for
 // concurrent use.
 type Dialer struct {
-	net *net.Dialer
+	net  *net.Dialer
+	kept kept
 }
 
 // NewDialer returns a dialer whose connections come from the local IP number.
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -7,9 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,16 +23,38 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Fresh asks for a connection of its own. On a kept one the target may close
+	// just when the request comes, and then nobody knows whether it ran.
+	Fresh bool
 }
 
 // A Reply represents an answer whose body is still being read, as the target
 // frames it: by a length, in chunks, or by the end of the connection.
 type Reply struct {
-	connection net.Conn
-	response   *http.Response
-	stop       func() bool
-	written    chan error
-	once       sync.Once
+	dialer   *Dialer
+	address  string
+	line     *line
+	response *http.Response
+	body     wholeBody
+	stop     func() bool
+	written  chan error
+	keep     time.Duration
+	once     sync.Once
+}
+
+// wholeBody notes whether a body was read to its end.
+type wholeBody struct {
+	io.Reader
+	whole bool
+}
+
+// Read reads from the body.
+func (b *wholeBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+	}
+	return n, err
 }
 
 const (
@@ -46,17 +68,16 @@
 	inlineBody = 2 << 10
 )
 
-// Send sends the request over a connection of its own and reads the answer's
-// header. The context's end closes the connection, also while the body is read.
+// Send sends the request and reads the answer's header, over a kept connection
+// if there is one. The context's end closes the connection, also while the body
+// is read.
 func (d *Dialer) Send(ctx context.Context, address string, r *Request) (*Reply, error) {
-	dialing, cancel := context.WithTimeout(ctx, connectTimeout)
-	connection, err := d.net.DialContext(dialing, "tcp", address)
-	cancel()
+	l, err := d.connect(ctx, address, r.Fresh)
 	if err != nil {
 		return nil, &Error{err: fmt.Errorf("connect to %s: %w", address, err)}
 	}
-	p := &Reply{connection: connection, written: make(chan error, 1)}
-	p.stop = context.AfterFunc(ctx, func() { connection.Close() })
+	p := &Reply{dialer: d, address: address, line: l, written: make(chan error, 1)}
+	p.stop = context.AfterFunc(ctx, func() { l.Close() })
 	if err := p.exchange(r); err != nil {
 		p.Close()
 		if ctx.Err() != nil {
@@ -67,41 +88,99 @@
 	return p, nil
 }
 
+func (d *Dialer) connect(ctx context.Context, address string, fresh bool) (*line, error) {
+	now := time.Now()
+	d.kept.sweep(now)
+	if !fresh {
+		if l := d.kept.take(address, now); l != nil {
+			return l, nil
+		}
+	}
+	dialing, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	connection, err := d.net.DialContext(dialing, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &line{Conn: connection, reader: bufio.NewReaderSize(connection, replyBuffer)}, nil
+}
+
+// maxLate bounds the late answers to earlier requests that are skipped.
+const maxLate = 3
+
 func (p *Reply) exchange(r *Request) error {
 	if len(r.Body) > inlineBody {
 		go p.runWrite(r)
-	} else if err := r.write(p.connection); err != nil {
-		return fmt.Errorf("send request: %w", err)
+	} else {
+		err := r.write(p.line)
+		if err != nil {
+			return fmt.Errorf("send request: %w", err)
+		}
+		p.written <- nil
 	}
-	reader := bufio.NewReaderSize(p.connection, replyBuffer)
-	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: r.Method})
+	for range maxLate {
+		response, err := http.ReadResponse(p.line.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return fmt.Errorf("read answer: %w", err)
 		}
-		if response.StatusCode >= http.StatusOK {
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		late, err := p.isLate(r, response)
+		if err != nil {
+			return err
+		}
+		if !late {
 			p.response = response
-			return p.check(r)
+			p.body.Reader = response.Body
+			p.keep = keepOf(response)
+			return nil
 		}
 	}
+	return ErrCrossed
 }
 
-// runWrite writes a long request while the answer is awaited. A failure shows
-// in the answer: there is none.
-func (p *Reply) runWrite(r *Request) { p.written <- r.write(p.connection) }
-
-func (p *Reply) check(r *Request) error {
+// isLate reports whether the answer belongs to an earlier request on the same
+// connection, and reads it away then.
+func (p *Reply) isLate(r *Request, response *http.Response) (bool, error) {
 	sent := r.Header.Get(RequestIDHeader)
-	if got := p.response.Header.Get(RequestIDHeader); got != sent && (got != "" || p.response.StatusCode < http.StatusBadRequest) {
-		return ErrCrossed
+	got := response.Header.Get(RequestIDHeader)
+	if got == sent || got == "" && response.StatusCode >= http.StatusBadRequest {
+		return false, nil
 	}
-	return nil
+	if !p.line.used || got == "" {
+		return false, ErrCrossed
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return false, fmt.Errorf("read a late answer: %w", err)
+	}
+	return true, nil
 }
 
+// keepOf returns how long the target keeps the connection, or a negative time
+// if it closes it.
+func keepOf(response *http.Response) time.Duration {
+	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return -1
+	}
+	var seconds int
+	_, value, found := strings.Cut(response.Header.Get("Keep-Alive"), "timeout=")
+	if !found {
+		value = response.Header.Get("Keep-Alive")
+	}
+	// Without a figure the connection is kept for the shortest time.
+	_, _ = fmt.Sscanf(value, "%d", &seconds)
+	return time.Duration(seconds) * time.Second
+}
+
+// runWrite writes a long request while the answer is awaited. A failure shows
+// in the answer: there is none.
+func (p *Reply) runWrite(r *Request) { p.written <- r.write(p.line) }
+
 // write sends the request in one piece, so that a small one takes one packet.
 func (r *Request) write(w io.Writer) error {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n", r.Method, r.URI, r.Host)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
@@ -131,11 +210,11 @@
 
 // Body returns the body. A body that ends before its announced end fails with
 // an error other than io.EOF.
-func (p *Reply) Body() io.Reader { return p.response.Body }
+func (p *Reply) Body() io.Reader { return &p.body }
 
 // ReadAll reads the rest of the body, of at most limit bytes.
 func (p *Reply) ReadAll(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(p.response.Body, limit+1))
+	data, err := io.ReadAll(io.LimitReader(&p.body, limit+1))
 	if err != nil {
 		return nil, &Error{sent: true, err: fmt.Errorf("read body: %w", err)}
 	}
@@ -145,10 +224,28 @@
 	return data, nil
 }
 
-// Close closes the connection, which cancels what the target still does.
+// Close ends the exchange. A connection whose exchange is complete is kept for
+// the next one; any other is closed, which cancels what the target still does.
 func (p *Reply) Close() {
 	p.once.Do(func() {
-		p.stop()
-		p.connection.Close()
+		if p.stop() && p.complete() {
+			p.dialer.kept.put(p.address, p.line, p.keep, time.Now())
+			return
+		}
+		p.line.Close()
 	})
 }
+
+// complete reports whether the request was sent and the answer read in full. A
+// target that answered early may take what follows for the rest of the body.
+func (p *Reply) complete() bool {
+	if p.response == nil || p.keep < 0 || !p.body.whole {
+		return false
+	}
+	select {
+	case err := <-p.written:
+		return err == nil
+	default:
+		return false
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -324,7 +324,7 @@
 	d.Priority = c.priority()
 	return &exchange.Request{
 		Method: c.http.Method, URI: c.http.URL.RequestURI(), Host: c.http.Host,
-		Header: c.server.parts.Codec.Outgoing(c.http.Header, d), Body: c.body,
+		Header: c.server.parts.Codec.Outgoing(c.http.Header, d), Body: c.body, Fresh: c.route.Repetition == catalog.Once,
 	}
 }
 
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -71,8 +71,6 @@
 	Other   bool
 	Load    Load
 	HasLoad bool
-	// KeepAlive is how long the target keeps an idle connection; 0 if unsaid.
-	KeepAlive time.Duration
 }
 
 // A Load represents what a target says of its load.
