--- a/gateway/call.go
+++ b/gateway/call.go
@@ -68,9 +68,12 @@
 	// maxTries bounds the targets tried for one request, unreachable ones
 	// included.
 	maxTries = 6
-	// noConfigurationWait is when a caller should come back to an instance that
-	// has just started.
-	noConfigurationWait = 300 * time.Millisecond
+	// startTime is how long an instance usually takes from its start to its
+	// configuration when the control group starts with it: an election and an
+	// answer. Callers of an instance that has none come back then.
+	startTime = 1600 * time.Millisecond
+	// leastStartWait is the least they are told to wait.
+	leastStartWait = 300 * time.Millisecond
 	// defaultWait bounds requests that say no deadline on routes without one.
 	defaultWait = time.Minute
 	// roundTrip is what an answer needs to reach the caller.
@@ -82,7 +85,7 @@
 	c := &call{server: s, writer: w, http: r, arrived: time.Now(), ask: s.parts.Codec.Ask(r.Header)}
 	c.configuration = s.parts.Sources.Configuration()
 	if c.configuration == nil {
-		return c, refuse(http.StatusServiceUnavailable, "no_configuration", "this instance has no configuration yet").after(noConfigurationWait)
+		return c, refuse(http.StatusServiceUnavailable, "no_configuration", "this instance has no configuration yet").after(max(leastStartWait, startTime-time.Since(s.started)))
 	}
 	c.route = c.configuration.Match(r.Host, r.URL.EscapedPath())
 	if c.route == nil {
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -29,7 +29,7 @@
 
 // retrySpread is the part by which Retry-After varies, so that those refused
 // together do not come back together.
-const retrySpread = 0.5
+const retrySpread = 0.3
 
 // after says when the caller should come back.
 func (f *failure) after(wait time.Duration) *failure {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -79,6 +79,7 @@
 	readiness *http.Server
 	listeners [2]net.Listener
 	guards    sync.Map
+	started   time.Time
 	stopping  atomic.Bool
 	open      atomic.Int64
 }
@@ -99,7 +100,7 @@
 
 // New returns a gateway that does not listen yet.
 func New(config Config, parts Parts) *Server {
-	s := &Server{config: config, parts: parts}
+	s := &Server{config: config, parts: parts, started: time.Now()}
 	s.requests = &http.Server{
 		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: withGuard, ErrorLog: parts.Logger.Standard(),
