--- a/event/event.go
+++ b/event/event.go
@@ -81,6 +81,7 @@
 	ControlBack       = define(309, "control_back", zapcore.InfoLevel, "a control instance answers again")
 	SettingsReloaded  = define(105, "settings_reloaded", zapcore.InfoLevel, "the settings file was read again")
 	SettingsRefused   = define(107, "settings_refused", zapcore.ErrorLevel, "the changed settings file has findings; the old settings stay in force")
+	LinesLeftOut      = define(108, "lines_left_out", zapcore.WarnLevel, "log lines exceeded the rate or the queue; total counts them since the start")
 	NoInnerKey        = define(106, "no_inner_key", zapcore.WarnLevel, "instances do not authenticate to each other, since the settings name no key; only the network keeps others out")
 	HoldFailed        = define(601, "hold_failed", zapcore.WarnLevel, "no second instance took a copy of the usage counters in time")
 	WindowClosed      = define(602, "window_closed", zapcore.InfoLevel, "a usage window's figures are committed")
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -22,8 +22,8 @@
 const (
 	// leastReadWait and readWaitFactor bound the wait for a prompt to be read
 	// elsewhere, by the estimate. Beyond them the reader is taken for lost.
-	leastReadWait  = 700 * time.Millisecond
-	readWaitFactor = 4
+	leastReadWait  = 1500 * time.Millisecond
+	readWaitFactor = 6
 	// leastTryWait and tryWaitObjectives bound the wait for an answer that
 	// another target may give as well.
 	leastTryWait      = 300 * time.Millisecond
--- a/serve/control.go
+++ b/serve/control.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"auburnscale/authority"
@@ -69,6 +70,7 @@
 	inner     *link.Server
 	operators *http.Server
 	listener  net.Listener
+	metrics   tally.Scope
 	failed    chan error
 	stopped   chan struct{}
 }
@@ -88,7 +90,12 @@
 		return nil, err
 	}
 	c.build(identity)
-	return c, c.listen()
+	scope, scrape := newFleetMetrics(s.Instance)
+	c.metrics = scope
+	if err := c.listen(); err != nil {
+		return nil, err
+	}
+	return c, serveMetrics(s.Fleet.Metrics, scrape, logger)
 }
 
 func (c *Control) openFolder() (*peer.Identity, error) {
@@ -256,12 +263,31 @@
 		case <-c.stopped:
 			return
 		case <-ticker.C:
+			c.measure()
 			c.roster.Tick()
 			c.roster.Expire()
 		}
 	}
 }
 
+// measure sets the gauges of this instance's state.
+func (c *Control) measure() {
+	standing := c.voter.Standing()
+	leads := 0.0
+	if standing.MayAct(clock.Now()) {
+		leads = 1
+	}
+	c.metrics.Gauge("control_leads").Update(leads)
+	c.metrics.Gauge("control_term").Update(float64(standing.Term()))
+	c.metrics.Gauge("control_commit_index").Update(float64(standing.Commit()))
+	c.metrics.Gauge("control_voters").Update(float64(len(standing.Voters().GetIds())))
+	c.metrics.Gauge("control_leader_silence_seconds").Update(standing.Silence().Seconds())
+	c.metrics.Gauge("control_log_bytes").Update(float64(c.folder.Size()))
+	c.voter.Read(func(m *control.Machine) {
+		c.metrics.Gauge("configuration_version").Update(float64(m.Document().GetVersion()))
+	})
+}
+
 func (c *Control) stop() {
 	c.logger.Log(event.Stopping)
 	close(c.stopped)
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"auburnscale/catalog"
@@ -58,6 +59,7 @@
 	// current is true once a leader under its lease has answered.
 	current atomic.Bool
 	version atomic.Uint64
+	metrics tally.Scope
 	taking  chan *peer.ReplaceDocument
 	failed  chan error
 	stopped chan struct{}
@@ -79,6 +81,7 @@
 		taking: make(chan *peer.ReplaceDocument, 16), failed: make(chan error, 4), stopped: make(chan struct{}),
 	}
 	scope, scrape := newFleetMetrics(s.Instance)
+	e.metrics = scope
 	if err := serveMetrics(f.Metrics, scrape, logger); err != nil {
 		return nil, err
 	}
@@ -212,6 +215,11 @@
 		names = append(names, services[i].Name)
 	}
 	e.fleets.Refresh(e.roster.Snapshot(), names, time.Now())
+	e.metrics.Gauge("configuration_version").Update(float64(configuration.Version()))
+	e.metrics.Gauge("requests_open").Update(float64(e.gateway.Open()))
+	for _, name := range names {
+		e.metrics.Tagged(map[string]string{"service": name}).Gauge("targets_usable").Update(float64(len(e.fleets.Fleet(name).Targets())))
+	}
 }
 
 // take puts a document in force. It never goes back to a lower version.
--- a/storage/folder.go
+++ b/storage/folder.go
@@ -22,6 +22,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 
 	"google.golang.org/protobuf/proto"
@@ -48,7 +49,7 @@
 	path     string
 	lock     *os.File
 	log      *os.File
-	size     int64
+	size     atomic.Int64
 	failed   error
 	hard     *peer.Hard
 	entries  []*peer.Entry
@@ -192,7 +193,7 @@
 
 func (f *Folder) write(buffer []byte) error {
 	n, err := f.log.Write(buffer)
-	f.size += int64(n)
+	f.size.Add(int64(n))
 	if err != nil {
 		return f.fail(fmt.Errorf("write %s: %w", f.file(logName), err))
 	}
@@ -242,7 +243,7 @@
 	if err != nil {
 		return f.fail(fmt.Errorf("stat log: %w", err))
 	}
-	f.size = info.Size()
+	f.size.Store(info.Size())
 	return nil
 }
 
@@ -254,7 +255,7 @@
 func (f *Folder) file(name string) string { return filepath.Join(f.path, name) }
 
 // Size returns the length of the log file in bytes.
-func (f *Folder) Size() int64 { return f.size }
+func (f *Folder) Size() int64 { return f.size.Load() }
 
 func marshal(m proto.Message) ([]byte, error) {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
--- a/storage/record.go
+++ b/storage/record.go
@@ -190,6 +190,6 @@
 	if err := f.log.Truncate(size); err != nil {
 		return f.fail(fmt.Errorf("cut torn tail: %w", err))
 	}
-	f.size = size
+	f.size.Store(size)
 	return f.Sync()
 }
