--- /dev/null
+++ b/usage/begun_test.go
@@ -0,0 +1,36 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestBegunGoesByTrueTime has an instance whose time of day is an hour off. Its
+// counts belong to the windows of true time.
+func TestBegunGoesByTrueTime(t *testing.T) {
+	const window = 5 * time.Second
+	b := NewBegun(window)
+	start := int64(1_767_225_600_000)
+	b.SetTime(start + 100)
+	b.Count("guild")
+	b.Count("guild")
+	b.Count("venue")
+	b.Count("")
+	counters := b.Counters()
+	require.Len(t, counters, 2)
+	require.Equal(t, start, counters[0].Window)
+	require.Equal(t, "guild", counters[0].Workspace)
+	require.EqualValues(t, 2, counters[0].Requests)
+
+	b.SetTime(start + window.Milliseconds() + 1)
+	b.Count("guild")
+	counters = b.Counters()
+	require.Len(t, counters, 3)
+	require.Equal(t, start+window.Milliseconds(), counters[2].Window)
+
+	b.SetTime(start + 100*window.Milliseconds())
+	b.Count("guild")
+	require.Len(t, b.Counters(), 1, "windows that are long due are dropped")
+}
