--- a/gateway/call.go
+++ b/gateway/call.go
@@ -110,6 +110,9 @@
 		return nil
 	}
 	workspace, ok := c.configuration.Authenticate(c.ask.Key)
+	if ok && !c.route.Open && !c.server.parts.Sources.KeysFresh() {
+		return refuse(http.StatusServiceUnavailable, "cut_off", "no control leader answers, and the key may have been withdrawn").after(maxComeBack)
+	}
 	if ok {
 		c.workspace = workspace
 		return nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -48,10 +48,14 @@
 	seq     uint64
 }
 
-type sources struct{ snapshot *catalog.Snapshot }
+type sources struct {
+	snapshot *catalog.Snapshot
+	stale    bool
+}
 
 func (s *sources) Configuration() *catalog.Snapshot { return s.snapshot }
 func (s *sources) Ready() bool                      { return s.snapshot != nil }
+func (s *sources) KeysFresh() bool                  { return !s.stale }
 
 type begun struct{ counts map[string]int }
 
@@ -86,7 +90,7 @@
 func newBed(t *testing.T, targets int) *bed {
 	snapshot, findings := catalog.New(configuration())
 	require.NoError(t, findings.Err())
-	b := &bed{t: t, sources: &sources{snapshot}, begun: &begun{map[string]int{}}, roster: roster.New(clock.Now, time.Hour)}
+	b := &bed{t: t, sources: &sources{snapshot: snapshot}, begun: &begun{map[string]int{}}, roster: roster.New(clock.Now, time.Hour)}
 	b.fleets = gateway.NewFleets("d0", route.Placer{})
 	for i := range targets {
 		target := standin.NewTarget(fmt.Sprint("e", i))
@@ -292,8 +296,13 @@
 		r.Header.Del("Authorization")
 		require.Equal(t, status, send(r).status, path)
 	}
-	b.sources.snapshot = nil
-	a, _ := b.send(http.MethodGet, "/nothing/")
+	b.sources.stale = true
+	a, _ := b.send(http.MethodGet, "/reads/1")
+	require.Equal(t, 503, a.status, "a key that may have been withdrawn")
+	a, _ = b.send(http.MethodGet, "/open/1")
+	require.Equal(t, 200, a.status, "open routes go on")
+	b.sources.stale, b.sources.snapshot = false, nil
+	a, _ = b.send(http.MethodGet, "/nothing/")
 	require.Equal(t, 503, a.status, "an instance without a configuration denies nothing")
 	require.NotEmpty(t, a.header.Get("Retry-After"))
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -50,6 +50,8 @@
 	Configuration() *catalog.Snapshot
 	// Ready reports whether the instance may take new connections.
 	Ready() bool
+	// KeysFresh reports whether keys that were withdrawn since would be known.
+	KeysFresh() bool
 }
 
 // Begun counts requests that targets began to run.
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -30,6 +30,10 @@
 	handOverCost = 40 * time.Millisecond
 	// remoteCost is what another failure domain costs, in time and in traffic.
 	remoteCost = 8 * time.Millisecond
+	// answerTravel bounds the way of an answer from the leader that made it.
+	answerTravel = 500 * time.Millisecond
+	// keyMargin is left of a key's life for requests on their way.
+	keyMargin = time.Second
 	// cutOffContacts is after how many contact times without a leader a started
 	// instance takes itself for cut off. An election and the repair of the
 	// control group take one or two.
@@ -59,10 +63,13 @@
 	// current is true once a leader under its lease has answered.
 	current atomic.Bool
 	version atomic.Uint64
-	metrics tally.Scope
-	taking  chan *peer.ReplaceDocument
-	failed  chan error
-	stopped chan struct{}
+	// confirmed is when, on clock.Now, the last question was sent that a leader
+	// answered with nothing newer than what this instance has.
+	confirmed atomic.Int64
+	metrics   tally.Scope
+	taking    chan *peer.ReplaceDocument
+	failed    chan error
+	stopped   chan struct{}
 }
 
 // NewEntry opens the listeners.
@@ -152,6 +159,13 @@
 // Ready reports whether the instance has a configuration.
 func (e *Entry) Ready() bool { return e.Configuration() != nil }
 
+// KeysFresh reports whether a key that was withdrawn a key's life ago would be
+// known here. Without strict keys it need not be.
+func (e *Entry) KeysFresh() bool {
+	f := &e.settings.Fleet
+	return !f.StrictKeys || clock.Now()-time.Duration(e.confirmed.Load()) < f.KeyLife.Span()-keyMargin
+}
+
 // Request is what this instance tells the control instances.
 func (e *Entry) Request() *peer.WatchRequest {
 	request := &peer.WatchRequest{
@@ -182,6 +196,8 @@
 	e.suspects.Tell(told)
 	if answer.Current && answer.Document == nil && e.version.Load() > 0 {
 		e.current.Store(true)
+		// The answer was held for a while, but what it says was so at its end.
+		e.confirmed.Store(int64(clock.Now() - answerTravel))
 	}
 }
 
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -46,7 +46,7 @@
 func (f *Fleet) checkSpans(path string, list *finding.List) {
 	for key, span := range map[string]Duration{
 		"announce": f.Announce, "contact": f.Contact, "drain": f.Drain, "grace": f.Grace, "effect": f.Effect,
-		"lease": f.Lease, "usage_window": f.UsageWindow, "usage_late": f.UsageLate, "retry_window": f.RetryWindow,
+		"lease": f.Lease, "usage_window": f.UsageWindow, "usage_late": f.UsageLate, "retry_window": f.RetryWindow, "key_life": f.KeyLife,
 	} {
 		if span.Span() < time.Millisecond {
 			list.Add(path, "fleet."+key, "must be at least 1ms, is %v", span.Span())
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -150,6 +150,8 @@
 	RetryRatio  float64  `toml:"retry_ratio" doc:"repeats allowed per request of a service, over the whole fleet"`
 	RetrySlack  float64  `toml:"retry_slack" doc:"repeats allowed beyond the ratio in one window, over the whole fleet"`
 	RetryWindow Duration `toml:"retry_window" doc:"length of the window that repeats are counted in"`
+	StrictKeys  bool     `toml:"strict_keys" doc:"true if a withdrawn key must stop where no control leader can be reached; keyed requests are refused there"`
+	KeyLife     Duration `toml:"key_life" doc:"with strict_keys, how long after a leader's answer keyed requests are served"`
 	Fenced      bool     `toml:"fenced" doc:"true if targets and the platform refuse an older fencing number"`
 	Platform    string   `toml:"platform" doc:"address of the platform's interface; empty if there is none"`
 	Duties      []string `toml:"duties" doc:"what the platform expects of the control leader: report_usage, order_targets"`
@@ -177,6 +179,7 @@
 			Announce: Duration(time.Second), Contact: Duration(3 * time.Second), Drain: Duration(2 * time.Second),
 			Grace: Duration(8 * time.Second), Effect: Duration(2 * time.Second), Lease: Duration(3 * time.Second),
 			UsageWindow: Duration(5 * time.Second), UsageLate: Duration(10 * time.Second),
+			KeyLife:    Duration(5 * time.Second),
 			RetryRatio: 0.2, RetryWindow: Duration(10 * time.Second),
 		},
 		Policy: Policy{Routing: "affinity", Admission: "fair", Retries: "budget", Hot: 1.5, RetryShare: 0.1},
