Order a second earlier, and no old order beside a new one

Cause: the first purchase waited a heartbeat and a second; an order that had just been replaced was repeated beside its successor.

--- a/authority/meter.go
+++ b/authority/meter.go
@@ -42,7 +42,7 @@
 }
 
 const (
-	meterInterval = 250 * time.Millisecond
+	meterInterval = 200 * time.Millisecond
 	// windowGrace is how long counters of a window are waited for in any case:
 	// instances send theirs every second.
 	windowGrace = 2500 * time.Millisecond
--- a/serve/steward.go
+++ b/serve/steward.go
@@ -25,10 +25,10 @@
 	purchaseKind = "purchase"
 	stageKind    = "stage"
 	// stewardInterval is the time between two looks at the fleet.
-	stewardInterval = time.Second
+	stewardInterval = 200 * time.Millisecond
 	// settleTime is how long the fleet must look the same before engines change
 	// their stage: starts and restarts come in groups.
-	settleTime = 700 * time.Millisecond
+	settleTime = 500 * time.Millisecond
 	// orderAgain is when an order that has not taken effect is given once more.
 	orderAgain = 6 * time.Second
 	// stageAgain is when an engine that was ordered is looked at once more. It
@@ -108,9 +108,9 @@
 func (s *steward) purchases(service *catalog.Service, rows []*peer.TargetRow, now time.Duration) []authority.Action {
 	counts := plan.CountTargets(rows)
 	last := s.lastOrders(service.Name)
-	if len(last) == 0 && now-s.steady < s.announce {
-		// The first orders go by the targets present at first, which announce
-		// themselves within one heartbeat.
+	if len(last) == 0 && now-s.steady < s.announce/2 {
+		// The first orders go by the targets present at first. Those announce
+		// themselves within one heartbeat, one soon after the other.
 		return nil
 	}
 	var actions []authority.Action
@@ -121,6 +121,7 @@
 	for _, o := range plan.Purchase(service, counts, last, starting) {
 		s.ordered[service.Name+"/"+o.Subject.FailureDomain] = now
 		actions = append(actions, s.purchaseAction(o, now)...)
+		delete(last, o.Subject)
 	}
 	for subject, o := range last {
 		if subject.Reclaimable && counts[subject.FailureDomain].Reclaimable < o.Count {
