--- a/serve/control.go
+++ b/serve/control.go
@@ -71,6 +71,7 @@
 	operators *http.Server
 	listener  net.Listener
 	metrics   tally.Scope
+	scraped   *metricsServer
 	failed    chan error
 	stopped   chan struct{}
 }
@@ -95,7 +96,8 @@
 	if err := c.listen(); err != nil {
 		return nil, err
 	}
-	return c, serveMetrics(s.Fleet.Metrics, scrape, logger)
+	c.scraped, err = serveMetrics(s.Fleet.Metrics, scrape, logger)
+	return c, err
 }
 
 func (c *Control) openFolder() (*peer.Identity, error) {
@@ -302,6 +304,7 @@
 	c.senders.Close()
 	c.folder.Close()
 	_ = c.inner.Close()
+	c.scraped.close()
 	c.logger.Log(event.Stopped)
 }
 
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -67,6 +67,7 @@
 	// answered with nothing newer than what this instance has.
 	confirmed atomic.Int64
 	metrics   tally.Scope
+	scraped   *metricsServer
 	taking    chan *peer.ReplaceDocument
 	failed    chan error
 	stopped   chan struct{}
@@ -89,7 +90,7 @@
 	}
 	scope, scrape := newFleetMetrics(s.Instance)
 	e.metrics = scope
-	if err := serveMetrics(f.Metrics, scrape, logger); err != nil {
+	if e.scraped, err = serveMetrics(f.Metrics, scrape, logger); err != nil {
 		return nil, err
 	}
 	e.watcher = watch.NewClient("", out.client, e, logger)
@@ -122,6 +123,7 @@
 	close(e.stopped)
 	e.sharer.Stop()
 	e.watcher.Stop()
+	e.scraped.close()
 	e.logger.Log(event.Stopped, zap.Int64("open", open))
 	return nil
 }
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -105,18 +105,18 @@
 	return NewEntry(s, logger)
 }
 
-// serveMetrics serves the metrics address, if there is one.
-func serveMetrics(address string, handler http.Handler, logger *event.Logger) error {
+// serveMetrics serves the metrics address. Without one it returns nil.
+func serveMetrics(address string, handler http.Handler, logger *event.Logger) (*metricsServer, error) {
 	if address == "" {
-		return nil
+		return nil, nil
 	}
 	listener, err := bind.Listen(address)
 	if err != nil {
-		return fmt.Errorf("listen for metrics: %w", err)
+		return nil, fmt.Errorf("listen for metrics: %w", err)
 	}
 	m := &metricsServer{http: &http.Server{Handler: handler, ReadHeaderTimeout: metricsTimeout}, listener: listener, logger: logger}
 	go m.run()
-	return nil
+	return m, nil
 }
 
 const metricsTimeout = 5 * time.Second
@@ -153,6 +153,13 @@
 	logger   *event.Logger
 }
 
+// close ends the listener. It may be called on nil.
+func (m *metricsServer) close() {
+	if m != nil {
+		_ = m.http.Close()
+	}
+}
+
 func (m *metricsServer) run() {
 	if err := m.http.Serve(m.listener); !errors.Is(err, http.ErrServerClosed) {
 		m.logger.Log(event.ListenerFailed, zap.Error(err))
--- a/serve/fleet_test.go
+++ b/serve/fleet_test.go
@@ -26,6 +26,7 @@
 	fleetPeerPort     = 7302
 	fleetEntryPort    = 7303
 	fleetReadyPort    = 7304
+	fleetMetricsPort  = 7305
 )
 
 // A fleet is a small system that finds itself, in this process: control
@@ -73,7 +74,7 @@
 func (f *fleet) control(host int) {
 	name := fmt.Sprint("control", host)
 	s := f.settings(name, host)
-	s.Fleet.Operators = f.at(host, fleetOperatorPort)
+	s.Fleet.Operators, s.Fleet.Metrics = f.at(host, fleetOperatorPort), f.at(host, fleetMetricsPort)
 	s.Fleet.DataFolder = f.data(host)
 	s.Fleet.Found = !f.started[name]
 	f.started[name] = true
@@ -333,3 +334,26 @@
 		}
 	}
 }
+
+// TestFailedDiskIsWaitedFor lets a data folder fail under its voter. The process
+// stops its part, and is built anew at the same addresses once the folder takes
+// writes; meanwhile the others go on.
+func TestFailedDiskIsWaitedFor(t *testing.T) {
+	f := newFleet(t)
+	for host := 1; host <= 3; host++ {
+		f.control(host)
+	}
+	f.replace(1, 1, "/a/")
+	m := f.running["control2"]
+	m.process.(*Control).folder.Close()
+	f.replace(1, 2, "/b/")
+	require.ErrorIs(t, <-m.ended, ErrRestart)
+	f.control(2)
+	f.awaitRead(2, 2, "/b/")
+	f.stop("control1")
+	f.awaitRead(2, 2, "/b/")
+	f.await("the metrics are there", func() bool {
+		status, body, err := f.call(http.MethodGet, f.at(2, fleetMetricsPort), "/metrics", "")
+		return err == nil && status == http.StatusOK && strings.Contains(body, "auburnscale_control_voters")
+	})
+}
