--- a/gateway/try.go
+++ b/gateway/try.go
@@ -63,8 +63,9 @@
 		held = 0
 		if source == "" {
 			p.Learn(time.Since(sent))
-			c.server.parts.Fleets.Holds(c.service.Name, p.Runner, c.prompt.Pieces)
 		}
+		// A cache that was taken over stays as well as one that was read.
+		c.server.parts.Fleets.Holds(c.service.Name, p.Runner, c.prompt.Pieces)
 	}
 	return c.send(p.Runner, Dispatch{Target: p.Runner.Name(), Source: source, LastEvent: c.ask.LastEvent}, began)
 }
--- a/route/plan.go
+++ b/route/plan.go
@@ -119,16 +119,16 @@
 	work := f.unread(t, prompt, home)
 	rate := f.rates.Mixed()
 	first := readTime(t.backlog()+work, rate) + p.presence(f, t, now)
-	return Placement{Runner: t, First: first, Work: work, waiting: t.backlog(), rates: f.rates, cost: first + f.again(work, prompt)}
+	return Placement{Runner: t, First: first, Work: work, waiting: t.backlog(), rates: f.rates, cost: first + again(work, prompt, rate)}
 }
 
 // again is what reading shared parts once more costs the requests behind it.
-func (f *Fleet) again(work int64, prompt Prompt) time.Duration {
+func again(work int64, prompt Prompt, rate float64) time.Duration {
 	if len(prompt.Tokens) == 0 {
 		return 0
 	}
 	own := prompt.Total - prompt.Tokens[len(prompt.Tokens)-1]
-	return readTime(max(0, work-own), f.rates.Read()) * againWeight
+	return readTime(max(0, work-own), rate) * againWeight
 }
 
 func (p Placer) handedOver(f *Fleet, reader, runner *Target, prompt Prompt, home bool, now time.Time) Placement {
@@ -140,7 +140,7 @@
 	if reader.Silent() {
 		first += silentCost
 	}
-	return Placement{Runner: runner, Reader: reader, First: first, Work: work, waiting: reader.backlog(), rates: f.rates, cost: first + f.again(work, prompt)}
+	return Placement{Runner: runner, Reader: reader, First: first, Work: work, waiting: reader.backlog(), rates: f.rates, cost: first + again(work, prompt, f.rates.Read())}
 }
 
 // lightest returns the runner with the least to do.
