--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -446,6 +446,28 @@
 	require.LessOrEqual(t, b.runs(id), 1)
 }
 
+// TestRunnerThatLeavesWhileThePromptIsRead has the chosen runner say that it
+// leaves. The request goes to another one.
+func TestRunnerThatLeavesWhileThePromptIsRead(t *testing.T) {
+	b := newBed(t, 3)
+	b.announce(0, peer.TargetRow_PREFILL)
+	b.announce(1, peer.TargetRow_DECODE)
+	b.announce(2, peer.TargetRow_DECODE)
+	read := make(chan struct{})
+	b.targets[0].Script(func(*standin.Target, http.ResponseWriter, *http.Request) bool { <-read; return false })
+	long := []string{"X-Model", "m", "X-Token-Count", "50000,10", "X-Prefix-Hash", "a1:40000,b2:10000"}
+	r, id := b.request(context.Background(), http.MethodPost, "/streams/1", long...)
+	ended := make(chan answer, 1)
+	go func() { ended <- send(r) }()
+	b.await("the prompt is being read", func() bool { return len(b.targets[0].Seen()) == 1 })
+	b.roster.Hear(&peer.TargetRow{Id: "e1", State: peer.TargetRow_GONE, BornMs: 1})
+	b.refresh()
+	close(read)
+	require.Equal(t, threeEvents, (<-ended).body)
+	require.Empty(t, b.targets[1].Seen())
+	require.Equal(t, 1, b.targets[2].Runs(id))
+}
+
 // TestPoisonIsQuarantined sends a request that breaks each target it reaches. It
 // reaches three.
 func TestPoisonIsQuarantined(t *testing.T) {
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -48,6 +48,9 @@
 			c.reread = true
 			return false, nil
 		}
+		if p.Runner = c.runnerNow(p.Runner); p.Runner == nil {
+			return false, nil
+		}
 	}
 	work, source := p.Work, c.source
 	if source != "" {
@@ -70,6 +73,16 @@
 	return c.send(p.Runner, Dispatch{Target: p.Runner.Name(), Source: source, LastEvent: c.ask.LastEvent}, began)
 }
 
+// runnerNow returns the runner, or another one if it left or went away while the
+// prompt was read.
+func (c *call) runnerNow(t *route.Target) *route.Target {
+	fleet := c.server.parts.Fleets.Fleet(c.service.Name)
+	if fleet.Has(t, time.Now()) {
+		return t
+	}
+	return c.server.parts.Fleets.Placer().Direct(fleet, route.Prompt{}, c.avoid, time.Now()).Runner
+}
+
 // readElsewhere lets the placement's reader read the prompt. It returns no
 // source if that failed; a prompt that is read twice costs time only.
 func (c *call) readElsewhere(p route.Placement) string {
--- a/route/plan.go
+++ b/route/plan.go
@@ -108,6 +108,11 @@
 	return best
 }
 
+// Has reports whether the target is still there and takes requests.
+func (f *Fleet) Has(t *Target, now time.Time) bool {
+	return slices.Contains(f.targets, t) && t.takes(now)
+}
+
 func sooner(a, b Placement) Placement {
 	if a.Runner == nil || b.cost < a.cost {
 		return b
