Let callers wait for the first configuration of a starting instance

Ruled out: a slow election (1.0 s after the last start). Change: a caller with enough time waits up to 1.2 s, and a third of its time at most; the others are told when to come back.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -72,6 +72,11 @@
 	// configuration when the control group starts with it: an election and an
 	// answer. Callers of an instance that has none come back then.
 	startTime = 1600 * time.Millisecond
+	// longestStartWait and startWaitShare bound how long a caller waits for the
+	// first configuration: by itself, and as a part of the time that it has.
+	longestStartWait = 1200 * time.Millisecond
+	startWaitShare   = 3
+	startPoll        = 20 * time.Millisecond
 	// leastStartWait is the least they are told to wait.
 	leastStartWait = 300 * time.Millisecond
 	// defaultWait bounds requests that say no deadline on routes without one.
@@ -83,7 +88,7 @@
 // prepare decides whether the request may run at all, and reads it.
 func (s *Server) prepare(w http.ResponseWriter, r *http.Request) (*call, *failure) {
 	c := &call{server: s, writer: w, http: r, arrived: time.Now(), ask: s.parts.Codec.Ask(r.Header)}
-	c.configuration = s.parts.Sources.Configuration()
+	c.configuration = s.awaitConfiguration(r.Context(), c.ask.Wait)
 	if c.configuration == nil {
 		return c, refuse(http.StatusServiceUnavailable, "no_configuration", "this instance has no configuration yet").after(max(leastStartWait, startTime-time.Since(s.started)))
 	}
@@ -105,6 +110,26 @@
 	return c, nil
 }
 
+// awaitConfiguration returns the configuration in force. On an instance that has
+// just started, a caller with enough time waits for it: it will be there soon,
+// and a refusal would cost the caller a retry.
+func (s *Server) awaitConfiguration(ctx context.Context, wait time.Duration) *catalog.Snapshot {
+	until := time.Now().Add(min(longestStartWait, wait/startWaitShare))
+	if end := s.started.Add(startTime + longestStartWait); until.After(end) {
+		until = end
+	}
+	for {
+		if c := s.parts.Sources.Configuration(); c != nil || !time.Now().Before(until) {
+			return c
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(startPoll):
+		}
+	}
+}
+
 func (c *call) identify() *failure {
 	if !c.configuration.Keyed() {
 		return nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -49,13 +50,25 @@
 }
 
 type sources struct {
+	mutex    sync.Mutex
 	snapshot *catalog.Snapshot
 	stale    bool
 }
 
-func (s *sources) Configuration() *catalog.Snapshot { return s.snapshot }
-func (s *sources) Ready() bool                      { return s.snapshot != nil }
-func (s *sources) KeysFresh() bool                  { return !s.stale }
+func (s *sources) set(snapshot *catalog.Snapshot) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.snapshot = snapshot
+}
+
+func (s *sources) Configuration() *catalog.Snapshot {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.snapshot
+}
+
+func (s *sources) Ready() bool     { return s.Configuration() != nil }
+func (s *sources) KeysFresh() bool { return !s.stale }
 
 type begun struct{ counts map[string]int }
 
@@ -307,6 +320,25 @@
 	require.NotEmpty(t, a.header.Get("Retry-After"))
 }
 
+// TestStartingInstanceWaits sends a request to an instance that has just started
+// and gets its configuration a moment later. A caller with enough time is served,
+// one without is told when to come back.
+func TestStartingInstanceWaits(t *testing.T) {
+	b := newBed(t, 1)
+	snapshot := b.sources.snapshot
+	b.sources.snapshot = nil
+	a, _ := b.send(http.MethodPost, "/orders/1")
+	require.Equal(t, 503, a.status, "it does not say how long it waits")
+	require.Contains(t, a.body, `"not_run":true`)
+	r, id := b.request(context.Background(), http.MethodPost, "/orders/1", "X-Deadline-Ms", "60000")
+	ended := make(chan answer, 1)
+	go func() { ended <- send(r) }()
+	b.await("it waits", func() bool { return b.server.Open() == 1 })
+	b.sources.set(snapshot)
+	require.Equal(t, 200, (<-ended).status)
+	require.Equal(t, 1, b.runs(id))
+}
+
 // TestTwoFramings sends a body that is framed both ways. It must not reach a
 // target, nor must the request that hides behind it.
 func TestTwoFramings(t *testing.T) {
