--- a/route/plan.go
+++ b/route/plan.go
@@ -73,6 +73,9 @@
 	silentCost = 400 * time.Millisecond
 	// crowdCost is what a full batch costs the requests in it.
 	crowdCost = 150 * time.Millisecond
+	// disturbed is the number of requests on a target from which a reading there
+	// costs others as much as the request itself.
+	disturbed = 8.0
 	// reportLife is how long a target's word on its load is of use.
 	reportLife = 500 * time.Millisecond
 	// againWeight is how many requests wait behind a reading, as it were.
@@ -124,7 +127,14 @@
 	work := f.unread(t, prompt, home)
 	rate := f.rates.Mixed()
 	first := readTime(t.backlog()+work, rate) + p.presence(f, t, now)
-	return Placement{Runner: t, First: first, Work: work, waiting: t.backlog(), rates: f.rates, cost: first + again(work, prompt, rate)}
+	cost := first + again(work, prompt, rate) + t.disturbance(readTime(work, rate), now)
+	return Placement{Runner: t, First: first, Work: work, waiting: t.backlog(), rates: f.rates, cost: cost}
+}
+
+// disturbance is what a reading of that length costs the requests whose output
+// it delays.
+func (t *Target) disturbance(reading time.Duration, now time.Time) time.Duration {
+	return time.Duration(float64(reading) * min(1, float64(t.crowd(now))/disturbed))
 }
 
 // again is what reading shared parts once more costs the requests behind it.
