Give a candidate with a vote time to win; hand over within the failure domain

Caches moved between domains though a runner as light was beside the reader. Change: a voter that gave its vote hears no other candidate for two heartbeats; a reader's own domain is preferred within the cost of a move; a handed-over request does not wait behind the runner's prompts.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -30,7 +30,7 @@
 	n.countVotes(now)
 }
 
-func (n *Node) receiveVote(m *peer.Message) {
+func (n *Node) receiveVote(now time.Duration, m *peer.Message) {
 	preVote := m.Kind == peer.Message_PRE_VOTE
 	free := n.vote == 0 || n.vote == m.From
 	if preVote {
@@ -40,6 +40,7 @@
 	if granted && !preVote {
 		n.vote = m.From
 		n.dirty = true
+		n.giveTime(now)
 	}
 	kind := peer.Message_VOTE_ANSWER
 	if preVote {
@@ -52,6 +53,14 @@
 	n.send(&peer.Message{Kind: kind, To: m.From, Term: term, Granted: granted})
 }
 
+// giveTime lets the candidate that has this vote win before another one is heard.
+// Otherwise two that campaign together, in different terms, undo each other's
+// election.
+func (n *Node) giveTime(now time.Duration) {
+	n.heard = now
+	n.promise = max(n.promise, now+voteBeats*n.config.Timing.Heartbeat)
+}
+
 func (n *Node) upToDate(m *peer.Message) bool {
 	lastTerm := n.log.lastTerm()
 	if m.LogTerm != lastTerm {
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -53,6 +53,8 @@
 	// maxAppendEntries and maxAppendBytes bound one APPEND message.
 	maxAppendEntries = 512
 	maxAppendBytes   = 1 << 20
+	// voteBeats is how many heartbeats a candidate that got a vote has to win.
+	voteBeats = 2
 	// maxRounds bounds the heartbeats a leader remembers the send time of.
 	maxRounds = 64
 )
@@ -250,7 +252,7 @@
 	}
 	switch m.Kind {
 	case peer.Message_PRE_VOTE, peer.Message_VOTE:
-		n.receiveVote(m)
+		n.receiveVote(now, m)
 	case peer.Message_PRE_VOTE_ANSWER, peer.Message_VOTE_ANSWER:
 		n.receiveVoteAnswer(now, m)
 	case peer.Message_APPEND:
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -337,3 +338,24 @@
 	require.Equal(t, leader.Commit(), c.nodes[behind].Commit())
 	require.Equal(t, leader.Commit(), c.disks[behind].snapshot.GetIndex())
 }
+
+// TestCandidatesTogether has two candidates in different terms, as after a power
+// cut of all voters. The one that has the vote wins before the other is heard.
+func TestCandidatesTogether(t *testing.T) {
+	n := New(Config{ID: 3, Voters: []uint64{1, 2, 3}, Timing: QuickTiming, Rand: rand.New(rand.NewPCG(1, 1))}, Restored{}, 0)
+	now := QuickTiming.Promise
+	n.Receive(now, &peer.Message{Kind: peer.Message_VOTE, From: 1, To: 3, Term: 4})
+	require.True(t, n.Take().Messages[0].Granted)
+	n.Receive(now, &peer.Message{Kind: peer.Message_VOTE, From: 2, To: 3, Term: 5})
+	require.Empty(t, n.Take().Messages)
+	require.EqualValues(t, 4, n.Term(), "the later candidate does not raise the term")
+	n.Receive(now, &peer.Message{Kind: peer.Message_APPEND, From: 1, To: 3, Term: 4})
+	require.EqualValues(t, 1, n.Leader())
+
+	n = New(Config{ID: 3, Voters: []uint64{1, 2, 3}, Timing: QuickTiming, Rand: rand.New(rand.NewPCG(1, 1))}, Restored{}, 0)
+	n.Receive(now, &peer.Message{Kind: peer.Message_VOTE, From: 1, To: 3, Term: 4})
+	n.Take()
+	now += 2 * voteBeats * QuickTiming.Heartbeat
+	n.Receive(now, &peer.Message{Kind: peer.Message_VOTE, From: 2, To: 3, Term: 5})
+	require.True(t, n.Take().Messages[0].Granted, "a candidate that did not win does not keep the vote")
+}
--- a/route/plan.go
+++ b/route/plan.go
@@ -49,6 +49,8 @@
 	HandOver time.Duration
 	// Remote is what a target of another failure domain costs.
 	Remote time.Duration
+	// Move is what it costs more to move a cache to another failure domain.
+	Move time.Duration
 }
 
 const (
@@ -75,7 +77,7 @@
 	crowdCost = 150 * time.Millisecond
 	// disturbed is the number of requests on a target from which a reading there
 	// costs others as much as the request itself.
-	disturbed = 8.0
+	disturbed = 3.0
 	// reportLife is how long a target's word on its load is of use.
 	reportLife = 500 * time.Millisecond
 	// againWeight is how many requests wait behind a reading, as it were.
@@ -89,11 +91,11 @@
 	if prompt.Total == 0 || best.Runner == nil {
 		return best
 	}
-	runner := p.lightest(f, avoid, now)
+	runners := p.lightest(f, avoid, now)
 	home := f.home(prompt, func(t *Target) bool { return !t.Runs() })
 	for _, t := range f.targets {
 		if !t.Runs() && t.takes(now) && !slices.Contains(avoid, t.name) {
-			best = sooner(best, p.handedOver(f, t, runner, prompt, t == home, now))
+			best = sooner(best, p.handedOver(f, t, runners.beside(t, p.Move), prompt, t == home, now))
 		}
 	}
 	return best
@@ -146,31 +148,61 @@
 	return readTime(max(0, work-own), rate) * againWeight
 }
 
-func (p Placer) handedOver(f *Fleet, reader, runner *Target, prompt Prompt, home bool, now time.Time) Placement {
+func (p Placer) handedOver(f *Fleet, reader *Target, runner candidate, prompt Prompt, home bool, now time.Time) Placement {
 	work := f.unread(reader, prompt, home)
-	first := readTime(reader.backlog()+work, f.rates.Read()) + p.HandOver + p.presence(f, runner, now)
-	if reader.domain != runner.domain {
-		first += p.Remote
+	first := readTime(reader.backlog()+work, f.rates.Read()) + p.HandOver + runner.presence
+	if reader.domain != runner.target.domain {
+		first += p.Move
 	}
 	if reader.Silent() {
 		first += silentCost
 	}
-	return Placement{Runner: runner, Reader: reader, First: first, Work: work, waiting: reader.backlog(), rates: f.rates, cost: first + again(work, prompt, f.rates.Read())}
+	return Placement{
+		Runner: runner.target, Reader: reader, First: first, Work: work, waiting: reader.backlog(), rates: f.rates,
+		cost: first + again(work, prompt, f.rates.Read()),
+	}
 }
 
-// lightest returns the runner with the least to do.
-func (p Placer) lightest(f *Fleet, avoid []string, now time.Time) *Target {
-	var best *Target
-	var cost time.Duration
+// A candidate is a runner with what it costs to be one more there. A request
+// whose cache is handed over does not wait behind the prompts that the runner
+// reads, but is slowed by them: they count in its rank.
+type candidate struct {
+	target   *Target
+	presence time.Duration
+	rank     time.Duration
+}
+
+// candidates are the lightest runner of all and of each failure domain.
+type candidates struct {
+	best     candidate
+	byDomain map[string]candidate
+}
+
+// beside returns the runner for what the reader hands over: the lightest of its
+// failure domain, unless another is lighter by more than a move costs.
+func (c candidates) beside(reader *Target, move time.Duration) candidate {
+	if near, ok := c.byDomain[reader.domain]; ok && near.rank <= c.best.rank+move {
+		return near
+	}
+	return c.best
+}
+
+func (p Placer) lightest(f *Fleet, avoid []string, now time.Time) candidates {
+	all := candidates{byDomain: map[string]candidate{}}
 	for _, t := range f.targets {
 		if !t.Runs() || !t.takes(now) || slices.Contains(avoid, t.name) {
 			continue
 		}
-		if c := readTime(t.backlog(), f.rates.Mixed()) + p.presence(f, t, now); best == nil || c < cost {
-			best, cost = t, c
+		c := candidate{target: t, presence: p.presence(f, t, now)}
+		c.rank = c.presence + readTime(t.backlog(), f.rates.Mixed())
+		if all.best.target == nil || c.rank < all.best.rank {
+			all.best = c
+		}
+		if near, ok := all.byDomain[t.domain]; !ok || c.rank < near.rank {
+			all.byDomain[t.domain] = c
 		}
 	}
-	return best
+	return all
 }
 
 // presence is what it costs to be one more on the target.
--- a/route/plan_test.go
+++ b/route/plan_test.go
@@ -147,3 +147,22 @@
 		})
 	}
 }
+
+// TestCachesStayInTheirDomain hands over within a failure domain as long as its
+// runners are about as light as others.
+func TestCachesStayInTheirDomain(t *testing.T) {
+	f := staged(6, 3)
+	p := placer
+	p.Move = 25 * time.Millisecond
+	for part := range uint64(50) {
+		c := p.Place(f, prompt(part, 13000, 17000), nil, time.Now())
+		require.Equal(t, c.Reader.FailureDomain(), c.Runner.FailureDomain())
+	}
+	near := p.Place(f, prompt(1, 13000, 17000), nil, time.Now())
+	for range 40 {
+		near.Runner.Begin(0)
+	}
+	far := p.Place(f, prompt(1, 13000, 17000), nil, time.Now())
+	require.Equal(t, near.Reader, far.Reader)
+	require.NotEqual(t, near.Runner, far.Runner)
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -34,6 +34,9 @@
 	answerTravel = 500 * time.Millisecond
 	// keyMargin is left of a key's life for requests on their way.
 	keyMargin = time.Second
+	// moveCost is what a cache costs more between failure domains: the transfer
+	// takes twice as long there.
+	moveCost = 25 * time.Millisecond
 	// cutOffContacts is after how many contact times without a leader a started
 	// instance takes itself for cut off. An election and the repair of the
 	// control group take one or two.
@@ -83,7 +86,7 @@
 	e := &Entry{
 		settings: s, logger: logger, incarnation: newIncarnation(), outgoing: out, started: clock.Now(),
 		roster:   roster.New(clock.Now, silentHeartbeats*f.Announce.Span()),
-		fleets:   gateway.NewFleets(s.FailureDomain, route.Placer{HandOver: handOverCost, Remote: remoteCost}),
+		fleets:   gateway.NewFleets(s.FailureDomain, route.Placer{HandOver: handOverCost, Remote: remoteCost, Move: moveCost}),
 		budget:   retry.NewShare(f.RetryRatio, f.RetrySlack, f.RetryWindow.Span()),
 		suspects: retry.NewSuspects(), begun: usage.NewBegun(f.UsageWindow.Span()),
 		taking: make(chan *peer.ReplaceDocument, 16), failed: make(chan error, 4), stopped: make(chan struct{}),
