--- a/command/root.go
+++ b/command/root.go
@@ -66,7 +66,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
 	root.AddCommand(serveCommand(), checkCommand(out), applyCommand(out), statusCommand(out), trailCommand(out),
 		keyCommand(out), drainCommand(out), forgetCommand(out), releaseCommand(out), votersCommand(out),
-		referenceCommand(out), versionCommand(out))
+		referenceCommand(out), explainCommand(out), versionCommand(out))
 	return root
 }
 
