--- a/roster/roster.go
+++ b/roster/roster.go
@@ -57,6 +57,8 @@
 	heard time.Duration
 	// awayUntil is when the target is back from an order of this instance's.
 	awayUntil time.Duration
+	// revision is that of the row's last change.
+	revision uint64
 }
 
 // New returns an empty roster on the clock.
@@ -242,6 +244,7 @@
 	}
 	r.entries[row.Id] = e
 	r.revision++
+	e.revision = r.revision
 	r.supersede(next)
 }
 
@@ -274,6 +277,7 @@
 	change(next)
 	e.row = next
 	r.revision++
+	e.revision = r.revision
 }
 
 func sameBirth(a, b *peer.TargetRow) bool { return a.BornMs == b.BornMs }
@@ -308,14 +312,18 @@
 	return r.changed
 }
 
-// Rows returns copies of all rows with their ages.
-func (r *Roster) Rows() []*peer.TargetRow {
+// Rows returns copies of the rows that changed since the revision, with their
+// ages, and the revision that they show; all rows for revision 0.
+func (r *Roster) Rows(since uint64) ([]*peer.TargetRow, uint64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.now()
 	var rows []*peer.TargetRow
 	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
 		e := r.entries[id]
+		if e.revision <= since {
+			continue
+		}
 		row := proto.Clone(e.row).(*peer.TargetRow)
 		row.AgeMs = max(0, (now - e.heard).Milliseconds())
 		if row.AwayMs > 0 {
@@ -323,5 +331,5 @@
 		}
 		rows = append(rows, row)
 	}
-	return rows
+	return rows, r.revision
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -91,11 +91,11 @@
 	a, clockA := newRoster()
 	b, clockB := newRoster()
 	a.Hear(row("e1", "1:1", 10, 1))
-	b.Merge(a.Rows())
+	b.Merge(allRows(a))
 	clockA.at += time.Minute
 	clockB.at += time.Minute
 	a.Tick()
-	b.Merge(a.Rows())
+	b.Merge(allRows(a))
 	require.True(t, b.Snapshot().Target("e1").Silent)
 }
 
@@ -109,25 +109,25 @@
 	before := row("e1", "1:1", 10, 1)
 	before.Stage = peer.TargetRow_DECODE
 	hears.Hear(before)
-	orders.Merge(hears.Rows())
-	entry.Merge(hears.Rows())
+	orders.Merge(allRows(hears))
+	entry.Merge(allRows(hears))
 	orders.SetAway("e1", 9*time.Second)
-	entry.Merge(orders.Rows())
+	entry.Merge(allRows(orders))
 	require.NotZero(t, entry.Snapshot().Target("e1").AwayMs)
 	later := row("e1", "1:1", 10, 2)
 	later.Stage = peer.TargetRow_DECODE
 	hears.Hear(later)
-	entry.Merge(hears.Rows())
+	entry.Merge(allRows(hears))
 	require.NotZero(t, entry.Snapshot().Target("e1").AwayMs, "a heartbeat on the way does not end it")
-	hears.Merge(orders.Rows())
+	hears.Merge(allRows(orders))
 	require.NotZero(t, hears.Snapshot().Target("e1").AwayMs)
 
 	back := row("e1", "1:1", 10, 3)
 	back.Stage = peer.TargetRow_PREFILL
 	hears.Hear(back)
-	entry.Merge(hears.Rows())
+	entry.Merge(allRows(hears))
 	require.Zero(t, entry.Snapshot().Target("e1").AwayMs)
-	entry.Merge(orders.Rows())
+	entry.Merge(allRows(orders))
 	require.Zero(t, entry.Snapshot().Target("e1").AwayMs, "an older word does not bring it back")
 
 	require.NotZero(t, orders.Snapshot().Target("e1").AwayMs)
@@ -182,3 +182,26 @@
 	}
 	return list
 }
+
+func allRows(r *Roster) []*peer.TargetRow {
+	rows, _ := r.Rows(0)
+	return rows
+}
+
+func TestRowsSinceARevision(t *testing.T) {
+	r, clock := newRoster()
+	r.Hear(row("e1", "1:1", 10, 1))
+	_, revision := r.Rows(0)
+	r.Hear(row("e1", "1:1", 10, 2))
+	rows, same := r.Rows(revision)
+	require.Empty(t, rows, "a heartbeat alone is no change")
+	require.Equal(t, revision, same)
+	r.Hear(row("e2", "1:2", 10, 1))
+	rows, revision = r.Rows(revision)
+	require.Len(t, rows, 1)
+	require.Equal(t, "e2", rows[0].Id)
+	clock.at += time.Minute
+	r.Tick()
+	rows, _ = r.Rows(revision)
+	require.Len(t, rows, 2, "both fell silent")
+}
--- a/watch/server.go
+++ b/watch/server.go
@@ -32,6 +32,8 @@
 const (
 	// Hold is how long an answer waits for something new.
 	Hold = time.Second
+	// gather is how long a change of the targets waits for others.
+	gather = 10 * time.Millisecond
 	// aliveFor is the silence after which an instance no longer counts.
 	aliveFor = 5 * time.Second
 	// suspicionLife is how long a suspicion is passed on.
@@ -140,6 +142,9 @@
 		}
 		select {
 		case <-rows:
+			// Targets often change together, as when a failure domain is ordered.
+			time.Sleep(gather)
+			return
 		case <-changed:
 		case <-spread:
 			return
@@ -157,10 +162,14 @@
 }
 
 func (s *Server) answer(request *peer.WatchRequest) *peer.WatchResponse {
-	a := &peer.WatchResponse{Server: s.incarnation, Roster: s.roster.Snapshot().Revision()}
-	if request.Server != s.incarnation || request.Roster != a.Roster || request.Control {
-		a.Full, a.Rows = true, s.roster.Rows()
+	a := &peer.WatchResponse{Server: s.incarnation}
+	since := request.Roster
+	if request.Server != s.incarnation || request.Control && since == s.roster.Snapshot().Revision() {
+		// Control instances get all rows once a hold, for the rows' ages.
+		since = 0
 	}
+	a.Full = since == 0
+	a.Rows, a.Roster = s.roster.Rows(since)
 	current := s.voter.MayAct()
 	s.voter.Read(func(m *control.Machine) {
 		if d := m.Document(); d.GetVersion() > request.Version {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -49,6 +49,7 @@
 // leaves and when a configuration comes.
 func TestWatchEndsWithNews(t *testing.T) {
 	s, v, r := newServer(t)
+	r.Hear(&peer.TargetRow{Id: "known", State: peer.TargetRow_READY, Address: "1:1", BornMs: 1, Seq: 1})
 	propose(t, v, 3)
 	first := s.Watch(context.Background(), ask("e1"))
 	require.True(t, first.Full)
@@ -61,7 +62,7 @@
 	go func() { answers <- s.Watch(context.Background(), next) }()
 	r.Hear(&peer.TargetRow{Id: "t", State: peer.TargetRow_GONE})
 	answer := <-answers
-	require.True(t, answer.Full)
+	require.False(t, answer.Full, "only what changed")
 	require.Len(t, answer.Rows, 1)
 	require.Nil(t, answer.Document, "the asker has it")
 
@@ -78,7 +79,7 @@
 	next := ask("e1")
 	next.Server, next.Roster, next.Version = first.Server, first.Roster, 3
 	answer := s.Watch(context.Background(), next)
-	require.False(t, answer.Full)
+	require.Empty(t, answer.Rows)
 	require.Nil(t, answer.Document)
 }
 
