--- a/authority/authority.go
+++ b/authority/authority.go
@@ -30,6 +30,9 @@
 // ErrNoLease means that this process may not act outward now.
 var ErrNoLease = errors.New("this process holds no lease")
 
+// errBusy means that an action on the target is on its way.
+var errBusy = errors.New("another action on the target is on its way")
+
 // Voter is what the authority needs of the replicated log.
 type Voter interface {
 	MayAct() bool
@@ -76,6 +79,7 @@
 
 	mutex  sync.Mutex
 	acting map[string]bool
+	group  sync.WaitGroup
 }
 
 // New returns the authority over the voter. The senders are by action kind.
@@ -87,7 +91,7 @@
 // intent open; Resolve sends it again.
 func (a *Authority) Act(ctx context.Context, action Action) error {
 	if !a.begin(action.Target) {
-		return nil
+		return errBusy
 	}
 	defer a.end(action.Target)
 	return a.act(ctx, action)
@@ -105,6 +109,33 @@
 	return a.send(ctx, sender, action, epoch)
 }
 
+// Start acts beside the caller, so that a target that does not answer holds up
+// no other. An action on a target that is being acted on is left out.
+func (a *Authority) Start(ctx context.Context, action Action) {
+	if !a.begin(action.Target) {
+		return
+	}
+	d := &dispatch{authority: a, action: action}
+	a.group.Add(1)
+	go d.run(ctx)
+}
+
+// Wait returns when no started action is on its way any more.
+func (a *Authority) Wait() { a.group.Wait() }
+
+// A dispatch is one started action.
+type dispatch struct {
+	authority *Authority
+	action    Action
+}
+
+func (d *dispatch) run(ctx context.Context) {
+	defer d.authority.group.Done()
+	defer d.authority.end(d.action.Target)
+	// An action that fails stays open and is resolved later; act logs it.
+	_ = d.authority.act(ctx, d.action)
+}
+
 // begin admits one send at a time to a target, so that this process never has
 // two in flight.
 func (a *Authority) begin(target string) bool {
@@ -186,6 +217,23 @@
 
 // Resolve sends every open intent again, with the content it was committed with.
 func (a *Authority) Resolve(ctx context.Context) {
+	for _, action := range a.unanswered() {
+		if !a.voter.MayAct() {
+			return
+		}
+		_ = a.Act(ctx, action)
+	}
+}
+
+// StartOpen starts every open intent again.
+func (a *Authority) StartOpen(ctx context.Context) {
+	for _, action := range a.unanswered() {
+		a.Start(ctx, action)
+	}
+}
+
+// unanswered returns the actions whose intents are open.
+func (a *Authority) unanswered() []Action {
 	var open []Action
 	a.voter.Read(func(m *control.Machine) {
 		for _, i := range m.Intents() {
@@ -194,10 +242,5 @@
 			}
 		}
 	})
-	for _, action := range open {
-		if !a.voter.MayAct() {
-			return
-		}
-		_ = a.Act(ctx, action)
-	}
+	return open
 }
--- a/authority/meter.go
+++ b/authority/meter.go
@@ -84,6 +84,7 @@
 
 func (m *Meter) run() {
 	defer close(m.done)
+	defer m.authority.Wait()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go m.cancelOnStop(cancel)
@@ -118,15 +119,14 @@
 	if clock.Now()-m.since < m.config.Lease && !m.first {
 		return
 	}
-	m.authority.Resolve(ctx)
+	m.authority.StartOpen(ctx)
 	if m.config.Kind != "" {
 		for m.closeNext(ctx) {
 		}
 		m.report(ctx)
 	}
 	for _, action := range m.config.Planner.Wanted(time.Now()) {
-		// An action that fails stays open and is resolved in a later pass.
-		_ = m.authority.Act(ctx, action)
+		m.authority.Start(ctx, action)
 	}
 }
 
--- a/authority/meter_test.go
+++ b/authority/meter_test.go
@@ -71,18 +71,18 @@
 	source := &fakeBegun{counts: map[int64]map[string]int64{50_000: {"guild": 7}, 55_000: {"guild": 1, "venue": 2}}, complete: true, now: 56 * time.Second}
 	sender := &recordingSender{err: errors.New("no answer")}
 	m := newMeter(v, source, sender)
-	m.pass(context.Background())
+	passOnce(m)
 	require.Empty(t, sender.sent, "the grace of the first window is not over")
 	source.now = 58 * time.Second
-	m.pass(context.Background())
+	passOnce(m)
 	require.Equal(t, []string{"1 10: guild=7"}, sender.sent)
 	source.counts[50_000]["guild"] = 9
 	sender.err = nil
-	m.pass(context.Background())
+	passOnce(m)
 	require.Equal(t, []string{"1 10: guild=7", "1 10: guild=7"}, sender.sent, "the committed figures are sent again")
 	source.now = 63 * time.Second
-	m.pass(context.Background())
-	m.pass(context.Background())
+	passOnce(m)
+	passOnce(m)
 	require.Equal(t, "1 11: guild=1 venue=2", sender.sent[len(sender.sent)-1])
 	require.Len(t, sender.sent, 3)
 }
@@ -92,10 +92,10 @@
 	source := &fakeBegun{counts: map[int64]map[string]int64{50_000: {"guild": 7}}, now: 59 * time.Second}
 	sender := &recordingSender{}
 	m := newMeter(v, source, sender)
-	m.pass(context.Background())
+	passOnce(m)
 	require.Empty(t, sender.sent, "an instance has not been heard")
 	source.now = 62500 * time.Millisecond
-	m.pass(context.Background())
+	passOnce(m)
 	require.Len(t, sender.sent, 1, "the report is due")
 }
 
@@ -105,20 +105,42 @@
 	v := &fakeVoter{log: newLog(), incarnation: "A", leads: true}
 	source := &fakeBegun{counts: map[int64]map[string]int64{50_000: {"guild": 7}}, complete: true, now: 58 * time.Second}
 	sender := &recordingSender{}
-	newMeter(v, source, sender).pass(context.Background())
+	passOnce(newMeter(v, source, sender))
 	require.Len(t, sender.sent, 1, "nobody has acted before")
 
 	source.counts[55_000], source.now = map[string]int64{"guild": 3}, 63*time.Second
 	next := newMeter(v, source, sender)
-	next.pass(context.Background())
+	passOnce(next)
 	require.Len(t, sender.sent, 1)
 	next.since = clock.Now() - 4*time.Second
-	next.pass(context.Background())
+	passOnce(next)
 	require.Len(t, sender.sent, 2)
 
 	v.leads = false
 	source.counts[60_000], source.now = map[string]int64{"guild": 3}, 68*time.Second
-	next.pass(context.Background())
+	passOnce(next)
 	require.Len(t, sender.sent, 2, "without the lease nothing goes out")
 	require.Zero(t, next.since)
 }
+
+// TestReportThatIsOnItsWay has a report without an answer yet. The next pass
+// leaves it alone, and comes to its end.
+func TestReportThatIsOnItsWay(t *testing.T) {
+	v := &fakeVoter{log: newLog(), incarnation: "A", leads: true}
+	source := &fakeBegun{counts: map[int64]map[string]int64{50_000: {"guild": 7}}, complete: true, now: 58 * time.Second}
+	sender := &recordingSender{}
+	m := newMeter(v, source, sender)
+	require.True(t, m.authority.begin("platform/usage"))
+	passOnce(m)
+	require.Empty(t, sender.sent)
+	m.authority.end("platform/usage")
+	passOnce(m)
+	m.authority.Wait()
+	require.Len(t, sender.sent, 1)
+}
+
+// passOnce takes one pass and waits for what it started.
+func passOnce(m *Meter) {
+	m.pass(context.Background())
+	m.authority.Wait()
+}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -136,3 +136,26 @@
 	silent.Silent = true
 	require.Empty(t, Stages([]*peer.TargetRow{silent}), "one that nobody hears is not ordered")
 }
+
+// TestOrderedEnginesCountWhereTheyGo looks at the fleet again while the engines
+// that were ordered change their stage. Nothing more is ordered.
+func TestOrderedEnginesCountWhereTheyGo(t *testing.T) {
+	var rows []*peer.TargetRow
+	for i := range 18 {
+		stage := peer.TargetRow_DECODE
+		if i%3 == 0 {
+			stage = peer.TargetRow_PREFILL
+		}
+		rows = append(rows, engine(i, fmt.Sprint("d", i%4), stage, i >= 9))
+	}
+	changes := Stages(rows)
+	require.NotEmpty(t, changes)
+	for _, c := range changes {
+		for _, row := range rows {
+			if row.Id == c.Target {
+				row.AwayMs = 3000
+			}
+		}
+	}
+	require.Empty(t, Stages(rows))
+}
--- a/plan/stage.go
+++ b/plan/stage.go
@@ -19,15 +19,19 @@
 // readers read at full speed.
 const runnerShare = 0.34
 
+// slackShare is the part of the engines by which the number may be off: a change
+// takes an engine away for seconds.
+const slackShare = 9
+
 // Stages returns the changes that bring a service's engines to the share that
 // makes answers. Every failure domain keeps one that does, so that it serves on
-// when it is cut off. While the number is at most one off there is no change, but
+// when it is cut off. While the number is off by little there is no change, but
 // for a domain without any.
 func Stages(rows []*peer.TargetRow) []Change {
 	domains := map[string]*domainEngines{}
 	total, runners := 0, 0
 	for _, row := range rows {
-		if row.Stage == peer.TargetRow_STAGE_UNSPECIFIED || row.Silent || row.AwayMs > 0 {
+		if row.Stage == peer.TargetRow_STAGE_UNSPECIFIED || row.Silent {
 			continue
 		}
 		d := domains[row.Domain]
@@ -36,31 +40,44 @@
 			domains[row.Domain] = d
 		}
 		total++
-		if row.Stage == peer.TargetRow_DECODE {
+		runs := row.Stage == peer.TargetRow_DECODE
+		switch {
+		case row.AwayMs > 0:
+			// It is on its way to the other stage, and counts there.
+			if !runs {
+				runners++
+				d.coming++
+			}
+		case runs:
 			runners++
 			d.runners = append(d.runners, row)
-		} else {
+		default:
 			d.readers = append(d.readers, row)
 		}
 	}
 	var changes []Change
 	for _, name := range slices.Sorted(maps.Keys(domains)) {
-		if d := domains[name]; len(d.runners) == 0 {
+		if d := domains[name]; len(d.runners)+d.coming == 0 && len(d.readers) > 0 {
 			changes = append(changes, d.toRunner())
 			runners++
 		}
 	}
 	want := max(len(domains), int(runnerShare*float64(total)+0.5))
-	if off := runners - want; off > 1 {
+	slack := max(1, total/slackShare)
+	if off := runners - want; off > slack {
 		changes = append(changes, toReaders(domains, off)...)
-	} else if off < -1 {
+	} else if off < -slack {
 		changes = append(changes, toRunners(domains, -off)...)
 	}
 	return changes
 }
 
-// domainEngines are the engines of one failure domain by what they do.
-type domainEngines struct{ runners, readers []*peer.TargetRow }
+// domainEngines are the engines of one failure domain by what they do, and the
+// number of those that are about to make answers.
+type domainEngines struct {
+	runners, readers []*peer.TargetRow
+	coming           int
+}
 
 // toRunner takes a reader, if possible one that stays.
 func (d *domainEngines) toRunner() Change {
--- a/serve/steward.go
+++ b/serve/steward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"auburnscale/authority"
@@ -28,7 +29,7 @@
 	stewardInterval = 200 * time.Millisecond
 	// settleTime is how long the fleet must look the same before engines change
 	// their stage: starts and restarts come in groups.
-	settleTime = 500 * time.Millisecond
+	settleTime = 800 * time.Millisecond
 	// orderAgain is when an order that has not taken effect is given once more.
 	orderAgain = 6 * time.Second
 	// stageAgain is when an engine that was ordered is looked at once more. It
@@ -53,10 +54,12 @@
 	// announce is the time between two heartbeats of a target.
 	announce time.Duration
 
-	looked   time.Duration
-	revision uint64
-	steady   time.Duration
-	tried    map[string]time.Duration
+	looked time.Duration
+	// targets is the hash of the targets and their stages, which have been the
+	// same since steady.
+	targets uint64
+	steady  time.Duration
+	tried   map[string]time.Duration
 	// ordered is when a failure domain was last ordered anything new.
 	ordered map[string]time.Duration
 }
@@ -88,9 +91,7 @@
 		return nil
 	}
 	snapshot := s.roster.Snapshot()
-	if snapshot.Revision() != s.revision {
-		s.revision, s.steady = snapshot.Revision(), now
-	}
+	s.noteTargets(snapshot, configuration, now)
 	var actions []authority.Action
 	services := configuration.Services()
 	for i := range services {
@@ -105,6 +106,21 @@
 	return actions
 }
 
+// noteTargets notes since when the targets and their stages have been the same.
+// Other changes of the roster, such as silences, come and go all the time.
+func (s *steward) noteTargets(snapshot *roster.Snapshot, configuration *catalog.Snapshot, now time.Duration) {
+	h := xxhash.New()
+	for _, service := range configuration.Services() {
+		for _, row := range snapshot.Service(service.Name) {
+			// A hash takes any number of bytes without an error.
+			_, _ = fmt.Fprintf(h, "%s %d;", row.Id, row.Stage)
+		}
+	}
+	if sum := h.Sum64(); sum != s.targets {
+		s.targets, s.steady = sum, now
+	}
+}
+
 func (s *steward) purchases(service *catalog.Service, rows []*peer.TargetRow, now time.Duration) []authority.Action {
 	counts := plan.CountTargets(rows)
 	last := s.lastOrders(service.Name)
