Take a target's word of leaving whatever number it bears

A heartbeat with a number already seen was acknowledged and dropped, also if it said that the target leaves; a target that repeats an unanswered heartbeat at another instance may do so. Test fails on the former code.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -69,7 +69,8 @@
 }
 
 // Hear merges what a target said to this instance just now. It returns false if
-// it is outdated.
+// it is outdated. A word of leaving never is: it is acknowledged, and must hold
+// whatever number it bears.
 func (r *Roster) Hear(row *peer.TargetRow) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -77,7 +78,7 @@
 	if known != nil && row.BornMs == 0 {
 		row.BornMs = known.row.BornMs
 	}
-	if known != nil && row.BornMs == known.row.BornMs && row.Seq <= known.row.Seq && row.State != peer.TargetRow_GONE {
+	if known != nil && row.BornMs == known.row.BornMs && row.Seq <= known.row.Seq && row.State <= known.row.State {
 		return false
 	}
 	before := r.revision
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -205,3 +205,18 @@
 	rows, _ = r.Rows(revision)
 	require.Len(t, rows, 2, "both fell silent")
 }
+
+// TestLeavingHoldsWhateverItsNumber has a target repeat a heartbeat that got no
+// answer at another instance, and say there that it leaves.
+func TestLeavingHoldsWhateverItsNumber(t *testing.T) {
+	for _, state := range []peer.TargetRow_State{peer.TargetRow_DRAINING, peer.TargetRow_GONE} {
+		r, _ := newRoster()
+		r.Hear(row("e1", "1:1", 10, 7))
+		leaving := row("e1", "1:1", 10, 7)
+		leaving.State = state
+		require.True(t, r.Hear(leaving))
+		require.Empty(t, r.Snapshot().Service("desk"))
+		r.Hear(row("e1", "1:1", 10, 8))
+		require.Empty(t, r.Snapshot().Service("desk"))
+	}
+}
