--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"auburnscale/exchange"
 )
 
 // A failure represents an answer of the system's own in place of a target's.
@@ -53,7 +55,7 @@
 	body, _ := json.Marshal(failureBody{failureDetail{Code: f.code, Message: f.message, NotRun: f.notRun, RequestID: id}})
 	h := w.Header()
 	if id != "" {
-		h.Set("X-Request-Id", id)
+		h.Set(exchange.RequestIDHeader, id)
 	}
 	if f.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -20,7 +20,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,7 +79,6 @@
 	requests  *http.Server
 	readiness *http.Server
 	listeners [2]net.Listener
-	guards    sync.Map
 	started   time.Time
 	stopping  atomic.Bool
 	open      atomic.Int64
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -73,63 +73,6 @@
 	return c.send(p.Runner, Dispatch{Target: p.Runner.Name(), Source: source, LastEvent: c.ask.LastEvent}, began)
 }
 
-// runnerNow returns the runner, or another one if it left or went away while the
-// prompt was read.
-func (c *call) runnerNow(t *route.Target) *route.Target {
-	fleet := c.server.parts.Fleets.Fleet(c.service.Name)
-	if fleet.Has(t, time.Now()) {
-		return t
-	}
-	return c.server.parts.Fleets.Placer().Direct(fleet, route.Prompt{}, c.avoid, time.Now()).Runner
-}
-
-// readElsewhere lets the placement's reader read the prompt. It returns no
-// source if that failed; a prompt that is read twice costs time only.
-func (c *call) readElsewhere(p route.Placement) string {
-	t := p.Reader
-	if c.reads > 0 && !c.server.parts.Budget.Spend(c.service.Name, clock.Now()) {
-		return ""
-	}
-	c.reads++
-	t.Begin(p.Work)
-	began := time.Now()
-	c.reader, c.unread = t.Name(), p.Work
-	defer func() { t.Prefilled(p.Work); t.End(); c.readTime += time.Since(began) }()
-	// A read may be repeated, so that a reader that is silent costs little.
-	ctx, cancel := context.WithTimeout(c.ctx, max(leastReadWait, readWaitFactor*p.First))
-	defer cancel()
-	reply, err := c.server.parts.Dialer.Send(ctx, t.Address(), c.request(Dispatch{Target: t.Name(), ReadOnly: true}))
-	if err != nil {
-		c.noteError(t, err)
-		return ""
-	}
-	defer reply.Close()
-	said := c.note(t, reply)
-	if reply.Status() != http.StatusOK || said.NotRun {
-		c.server.parts.Fleets.Failed(c.service.Name, t, said.Other)
-		t.Decline(time.Now())
-		c.avoid = append(c.avoid, t.Name())
-		// The read was rejected and counts as an arrival; the direct one that
-		// follows is the request's first.
-		c.server.parts.Budget.Note(c.service.Name, clock.Now())
-		return ""
-	}
-	body, err := reply.ReadAll(maxHandleBytes)
-	if err != nil {
-		c.noteError(t, err)
-		return ""
-	}
-	handle, err := c.server.parts.Codec.DecodeHandle(body)
-	if err != nil {
-		c.noteError(t, err)
-		return ""
-	}
-	t.Took()
-	p.Learn(time.Since(began))
-	c.server.parts.Fleets.Holds(c.service.Name, t, c.prompt.Pieces)
-	return c.server.parts.Codec.Source(t.Address(), handle)
-}
-
 // noteError takes a target out after it did not answer.
 func (c *call) noteError(t *route.Target, err error) {
 	c.avoid = append(c.avoid, t.Name())
--- a/serve/control.go
+++ b/serve/control.go
@@ -181,16 +181,11 @@
 	if known := c.decoded.Load(); known != nil && known.Version() == document.Version {
 		return known
 	}
-	configuration, err := platform.DecodeConfiguration(document.Body)
+	snapshot, _, err := decodeDocument(document.Body)
 	if err != nil {
 		c.logger.Log(event.ConfigRefused, zap.Uint64("version", document.Version), zap.Error(err))
 		return nil
 	}
-	snapshot, findings := catalog.New(configuration)
-	if err := findings.Err(); err != nil {
-		c.logger.Log(event.ConfigRefused, zap.Uint64("version", document.Version), zap.Error(err))
-		return nil
-	}
 	c.decoded.Store(snapshot)
 	return snapshot
 }
@@ -327,19 +322,15 @@
 
 // Replace checks a configuration document and commits it.
 func (c *Control) Replace(ctx context.Context, document []byte) error {
-	configuration, err := platform.DecodeConfiguration(document)
-	if err == nil {
-		_, findings := catalog.New(configuration)
-		err = findings.Err()
-	}
+	_, version, err := decodeDocument(document)
 	if err != nil {
-		c.logger.Log(event.DocumentRefused, zap.Uint64("version", configuration.Version), zap.Error(err))
+		c.logger.Log(event.DocumentRefused, zap.Uint64("version", version), zap.Error(err))
 		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	result, err := c.keeper.Propose(ctx, &peer.Command{Actor: c.settings.Instance, Body: &peer.Command_Replace{
-		Replace: &peer.ReplaceDocument{Version: configuration.Version, Body: document},
+		Replace: &peer.ReplaceDocument{Version: version, Body: document},
 	}})
 	if err != nil {
 		return err
@@ -347,7 +338,7 @@
 	if result.Code != peer.Result_OK {
 		return fmt.Errorf("the configuration was not committed: %s", result.Detail)
 	}
-	c.logger.Log(event.DocumentAccepted, zap.Uint64("version", configuration.Version), zap.Uint64("in_force", result.Version))
+	c.logger.Log(event.DocumentAccepted, zap.Uint64("version", version), zap.Uint64("in_force", result.Version))
 	return nil
 }
 
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -248,17 +248,12 @@
 	if document.Version <= e.version.Load() {
 		return
 	}
-	decoded, err := platform.DecodeConfiguration(document.Body)
+	snapshot, _, err := decodeDocument(document.Body)
 	if err != nil {
 		e.logger.Log(event.ConfigRefused, zap.Uint64("version", document.Version), zap.Error(err))
 		return
 	}
-	snapshot, findings := catalog.New(decoded)
-	if err := findings.Err(); err != nil {
-		e.logger.Log(event.ConfigRefused, zap.Uint64("version", document.Version), zap.Error(err))
-		return
-	}
 	e.configuration.Store(snapshot)
 	e.version.Store(document.Version)
-	e.logger.Log(event.ConfigInForce, zap.Uint64("version", document.Version), zap.Int("routes", len(decoded.Routes)))
+	e.logger.Log(event.ConfigInForce, zap.Uint64("version", document.Version), zap.Int("routes", len(snapshot.Routes())))
 }
