--- a/gateway/call.go
+++ b/gateway/call.go
@@ -135,9 +135,6 @@
 
 func (c *call) place() route.Placement {
 	fleet := c.server.parts.Fleets.Fleet(c.service.Name)
-	if fleet == nil {
-		return route.Placement{}
-	}
 	prompt := c.prompt
 	if c.reread || c.source != "" {
 		return c.server.parts.Fleets.Placer().Direct(fleet, prompt, c.avoid, time.Now())
--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -56,8 +56,14 @@
 // SetSharers sets the number of instances that send to the targets.
 func (f *Fleets) SetSharers(n int) { f.sharers.Store(int64(max(1, n))) }
 
-// Fleet returns the usable targets of the service, or nil.
-func (f *Fleets) Fleet(service string) *route.Fleet { return (*f.fleets.Load())[service] }
+// Fleet returns the usable targets of the service; none for a service that a
+// later configuration took away.
+func (f *Fleets) Fleet(service string) *route.Fleet {
+	if fleet := (*f.fleets.Load())[service]; fleet != nil {
+		return fleet
+	}
+	return route.NewFleet(nil, f.domain, route.NewPrefixIndex(1))
+}
 
 // Refresh rebuilds the fleets from the roster and the breakers.
 func (f *Fleets) Refresh(s *roster.Snapshot, services []string, now time.Time) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -565,3 +565,24 @@
 	require.Equal(t, 200, (<-ended).status)
 	require.Zero(t, <-stopped)
 }
+
+// TestServiceThatIsTakenAway has a configuration take the service away while its
+// prompt is read. The request is refused, and nothing panics.
+func TestServiceThatIsTakenAway(t *testing.T) {
+	b := newBed(t, 2)
+	b.announce(0, peer.TargetRow_PREFILL)
+	b.announce(1, peer.TargetRow_DECODE)
+	read := make(chan struct{})
+	b.targets[0].Script(func(*standin.Target, http.ResponseWriter, *http.Request) bool { <-read; return false })
+	long := []string{"X-Model", "m", "X-Token-Count", "50000,10", "X-Prefix-Hash", "a1:40000,b2:10000"}
+	r, id := b.request(context.Background(), http.MethodPost, "/streams/1", long...)
+	ended := make(chan answer, 1)
+	go func() { ended <- send(r) }()
+	b.await("the prompt is being read", func() bool { return len(b.targets[0].Seen()) == 1 })
+	b.fleets.Refresh(b.roster.Snapshot(), nil, time.Now())
+	close(read)
+	a := <-ended
+	require.NoError(t, a.err)
+	require.Equal(t, 503, a.status)
+	require.Zero(t, b.runs(id))
+}
--- a/serve/steward.go
+++ b/serve/steward.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"time"
 
@@ -37,7 +38,9 @@
 	stageAgain = 15 * time.Second
 	// startSlack is what a new target may take beyond its start time until it
 	// is known.
-	startSlack    = 2500 * time.Millisecond
+	startSlack = 2500 * time.Millisecond
+	// forgetTried is how long a try is remembered.
+	forgetTried   = 5 * time.Minute
 	reportTimeout = 500 * time.Millisecond
 )
 
@@ -86,6 +89,7 @@
 		return nil
 	}
 	s.looked = now
+	maps.DeleteFunc(s.tried, func(_ string, at time.Duration) bool { return now-at > forgetTried })
 	configuration := s.document()
 	if configuration == nil {
 		return nil
