--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -586,3 +586,17 @@
 	require.Equal(t, 503, a.status)
 	require.Zero(t, b.runs(id))
 }
+
+// TestStreamOfNoTarget has something answer a stream that is no target, and a
+// stream that nobody can go on with. The caller never gets them as whole.
+func TestStreamOfNoTarget(t *testing.T) {
+	b := newBed(t, 1)
+	b.targets[0].Script(standin.Unstamped)
+	a, _ := b.send(http.MethodPost, "/streams/1", streamed...)
+	require.Equal(t, 502, a.status, a.body)
+	require.NotContains(t, a.body, "not an engine")
+	b = newBed(t, 1)
+	b.targets[0].Script(standin.CutAfter(2))
+	a, _ = b.send(http.MethodPost, "/resumable/1", streamed...)
+	require.Error(t, a.err, "the only target broke off")
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -76,10 +76,11 @@
 		if f != nil {
 			r.cut(t, err)
 		}
-		t, reply, began = r.resume()
-		if reply == nil {
+		next, nextReply := r.resume()
+		if nextReply == nil {
 			r.cut(t, err)
 		}
+		t, reply, began = next, nextReply, func() {}
 		defer reply.Close()
 	}
 }
@@ -177,26 +178,27 @@
 	r.lastID = string(bytes.TrimSpace(line))
 }
 
-// resume goes on at another target behind the last event that the caller has.
-func (r *relay) resume() (*route.Target, *exchange.Reply, func()) {
+// resume goes on at another target behind the last event that the caller has. It
+// returns no reply if none takes the stream.
+func (r *relay) resume() (*route.Target, *exchange.Reply) {
 	c := r.c
 	r.pending = r.pending[:0]
 	for c.mayRepeat() && c.ctx.Err() == nil {
 		placement := c.server.parts.Fleets.Placer().Direct(c.server.parts.Fleets.Fleet(c.service.Name), c.prompt, c.avoid, time.Now())
 		t := placement.Runner
 		if t == nil || !c.repeat() {
-			return nil, nil, nil
+			return nil, nil
 		}
 		reply, err := c.server.parts.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), LastEvent: r.lastID}))
 		if err != nil {
 			if _, f := c.sendFailed(t, err); f != nil {
-				return t, nil, nil
+				return nil, nil
 			}
 			continue
 		}
 		c.sends++
 		said := c.note(t, reply)
-		if said.NotRun || reply.Status() != http.StatusOK {
+		if said.NotRun || !said.Stamped || reply.Status() != http.StatusOK {
 			c.avoid = append(c.avoid, t.Name())
 			reply.Close()
 			continue
@@ -204,7 +206,7 @@
 		c.runs++
 		c.target = t.Name()
 		c.server.logResumed(c, t, r.lastID)
-		return t, reply, func() {}
+		return t, reply
 	}
-	return nil, nil, nil
+	return nil, nil
 }
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -119,10 +119,13 @@
 	if reply.Status() >= http.StatusInternalServerError {
 		return c.targetFailed(t, reply, said)
 	}
+	if !said.Stamped {
+		return false, c.broken(t, errUnstamped)
+	}
 	if c.route.Repetition == catalog.Streamed && reply.Status() == http.StatusOK {
 		return c.stream(t, reply, began)
 	}
-	return c.deliver(t, reply, said)
+	return c.deliver(t, reply)
 }
 
 // tryContext bounds one try of a request that another target may run as well,
@@ -207,14 +210,11 @@
 var errUnstamped = errors.New("the answer bears no sign of a target")
 
 // deliver passes on an answer in one piece, whole or not at all.
-func (c *call) deliver(t *route.Target, reply *exchange.Reply, said Reply) (bool, *failure) {
+func (c *call) deliver(t *route.Target, reply *exchange.Reply) (bool, *failure) {
 	body, err := reply.ReadAll(maxAnswerBytes)
 	if err != nil {
 		return false, c.broken(t, err)
 	}
-	if !said.Stamped {
-		return false, c.broken(t, errUnstamped)
-	}
 	c.count()
 	c.server.parts.Fleets.Succeeded(c.service.Name, t)
 	c.server.parts.Suspects.Clear(c.fingerprint)
--- a/route/plan_test.go
+++ b/route/plan_test.go
@@ -140,9 +140,11 @@
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			f := staged(size*2/3, size-size*2/3)
 			p := prompt(7, 13000, 17000)
+			now := time.Now()
+			require.NotNil(b, placer.Place(f, p, nil, now).Runner)
 			b.ReportAllocs()
 			for b.Loop() {
-				placer.Place(f, p, nil, time.Time{})
+				placer.Place(f, p, nil, now)
 			}
 		})
 	}
