Keep the reload signal caught while an instance starts and stops

Cause: the reloader gave the signal back when the process began to stop. Ruled out: a panic (none on stderr), a stop by the drain's end (8 s left). Change: the signal is caught once, first thing, to the process's end.

--- a/command/serve.go
+++ b/command/serve.go
@@ -35,6 +35,7 @@
 	if file == "" {
 		return &usageError{errors.New("no settings file: give --settings or set $" + settingsVariable)}
 	}
+	hangups := catchHangups()
 	s, findings := settings.Read(file)
 	if err := findings.Err(); err != nil {
 		return err
@@ -48,7 +49,7 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if s.Fleet.Enabled() {
-		return runFleet(ctx, file, s, logger)
+		return runFleet(ctx, file, s, hangups, logger)
 	}
 	process, err := serve.New(s, logger)
 	if err != nil {
@@ -61,9 +62,9 @@
 }
 
 // runFleet runs an instance of a fleet that finds itself.
-func runFleet(ctx context.Context, file string, s settings.Settings, logger *event.Logger) error {
+func runFleet(ctx context.Context, file string, s settings.Settings, hangups <-chan os.Signal, logger *event.Logger) error {
 	for {
-		err := runOnce(ctx, file, s, logger)
+		err := runOnce(ctx, file, s, hangups, logger)
 		if !errors.Is(err, serve.ErrRestart) {
 			return err
 		}
@@ -74,14 +75,14 @@
 	}
 }
 
-func runOnce(ctx context.Context, file string, s settings.Settings, logger *event.Logger) error {
+func runOnce(ctx context.Context, file string, s settings.Settings, hangups <-chan os.Signal, logger *event.Logger) error {
 	process, err := serve.NewFleet(s, logger)
 	if err != nil {
 		return err
 	}
 	reloading, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &reloader{file: file, process: process, logger: logger}
+	r := &reloader{file: file, process: process, logger: logger, hangups: hangups}
 	go r.run(reloading)
 	if err := process.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		return err
@@ -98,13 +99,20 @@
 	file    string
 	process serve.Reloader
 	logger  *event.Logger
+	hangups <-chan os.Signal
 	changed time.Time
 }
 
+// catchHangups returns the signals that ask for a reload. They stay caught to
+// the end of the process: by default one would end an instance that starts, or
+// one that finishes its requests before it stops.
+func catchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 func (r *reloader) run(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	r.changed = r.modified()
@@ -112,7 +120,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-r.hangups:
 			r.reload()
 		case <-ticker.C:
 			if at := r.modified(); !at.Equal(r.changed) {
