Have a word of leaving that names no birth end every birth before it

Cause: a target's last call carries no body, so it names no birth. Change: the row carries up to which start its births have ended, by the estimate of true time less half a second; instances merge it like the rest. The row keeps its own birth, since that decides who owns an address. Before: TestLeavingEndsBirthsNotHeardOfYet fails.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -78,7 +78,7 @@
 	if known != nil && row.BornMs == 0 {
 		row.BornMs = known.row.BornMs
 	}
-	if known != nil && row.BornMs == known.row.BornMs && row.Seq <= known.row.Seq && row.State <= known.row.State {
+	if known != nil && row.BornMs == known.row.BornMs && row.Seq <= known.row.Seq && row.State <= known.row.State && row.EndedMs <= known.row.EndedMs {
 		return false
 	}
 	before := r.revision
@@ -169,7 +169,35 @@
 
 // merge applies one row that was heard the age ago.
 func (r *Roster) merge(row *peer.TargetRow, age time.Duration) {
-	heard := r.now() - age
+	ended := row.EndedMs
+	if known := r.entries[row.Id]; known != nil {
+		ended = max(ended, known.row.EndedMs)
+	}
+	r.mergeWord(row, r.now()-age)
+	r.end(row.Id, ended)
+}
+
+// end applies a word of leaving that named no birth to the births that began
+// before it, also to one that is heard of only now. The row keeps its own birth,
+// which decides who owns the address.
+func (r *Roster) end(id string, ended int64) {
+	e := r.entries[id]
+	if e == nil || ended == 0 {
+		return
+	}
+	over := e.row.BornMs <= ended && e.row.State != peer.TargetRow_GONE
+	if !over && e.row.EndedMs == ended {
+		return
+	}
+	r.set(e, func(o *peer.TargetRow) {
+		o.EndedMs = ended
+		if over {
+			o.State, o.Silent = peer.TargetRow_GONE, false
+		}
+	})
+}
+
+func (r *Roster) mergeWord(row *peer.TargetRow, heard time.Duration) {
 	known := r.entries[row.Id]
 	if known == nil {
 		r.insert(row, heard)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -157,6 +157,9 @@
 			// A target keeps its address within a birth.
 			each.Address = []string{"1:1", "1:2"}[born%2]
 			each.State = peer.TargetRow_State(rapid.IntRange(1, 3).Draw(t, "state"))
+			if each.State == peer.TargetRow_GONE && rapid.Bool().Draw(t, "named none") {
+				each.EndedMs = int64(rapid.IntRange(1, 40).Draw(t, "ended"))
+			}
 			rows = append(rows, each)
 		}
 		one, _ := newRoster()
@@ -220,3 +223,31 @@
 		require.Empty(t, r.Snapshot().Service("desk"))
 	}
 }
+
+// TestLeavingEndsBirthsNotHeardOfYet has a target start again while it is cut
+// off and leave as soon as it is back: the control instance that acknowledges
+// the word of leaving knows only the birth before.
+func TestLeavingEndsBirthsNotHeardOfYet(t *testing.T) {
+	r, clock := newRoster()
+	r.Hear(row("e1", "1:1", 10, 7))
+	require.True(t, r.Hear(&peer.TargetRow{Id: "e1", State: peer.TargetRow_GONE, EndedMs: 50}))
+	clock.at += time.Second
+	r.Hear(row("e1", "1:1", 40, 3))
+	require.Equal(t, peer.TargetRow_GONE, state(r, "e1"), "the birth at 40 had left")
+
+	// The same in the other order, at an instance that hears it from others.
+	other, _ := newRoster()
+	other.Merge([]*peer.TargetRow{row("e1", "1:1", 40, 3)})
+	other.Merge(allRows(r))
+	require.Equal(t, peer.TargetRow_GONE, state(other, "e1"))
+	other.Hear(row("e1", "1:1", 40, 4))
+	require.Equal(t, peer.TargetRow_GONE, state(other, "e1"))
+
+	// Another id that started at the address meanwhile is not ended by it.
+	r.Hear(row("e2", "1:1", 45, 1))
+	r.Hear(&peer.TargetRow{Id: "e1", State: peer.TargetRow_GONE, EndedMs: 55})
+	require.Equal(t, peer.TargetRow_READY, state(r, "e2"))
+
+	r.Hear(row("e1", "1:2", 60, 1))
+	require.Equal(t, peer.TargetRow_READY, state(r, "e1"), "a birth after the leaving holds")
+}
--- a/serve/control.go
+++ b/serve/control.go
@@ -309,13 +309,22 @@
 	c.logger.Log(event.SettingsReloaded, zap.Strings("seeds", s.Fleet.Seeds))
 }
 
-// Hear merges what a target says of itself.
+// leaveMargin is below the shortest time between a target's start and its word
+// of leaving, and above the error of the estimate of true time: a target that
+// starts right after the word is not ended by it.
+const leaveMargin = 500 * time.Millisecond
+
+// Hear merges what a target says of itself. A word of leaving that names no
+// birth ends all births until now.
 func (c *Control) Hear(row *peer.TargetRow) bool {
+	if row.State == peer.TargetRow_GONE && row.BornMs == 0 {
+		row.EndedMs = (c.watching.TrueTime() - leaveMargin).Milliseconds()
+	}
 	before := c.roster.Snapshot().Target(row.Id)
 	taken := c.roster.Hear(row)
 	if after := c.roster.Snapshot().Target(row.Id); after.GetState() != before.GetState() || after.GetBornMs() != before.GetBornMs() || after.GetStage() != before.GetStage() {
 		c.logger.Log(event.TargetHeard, zap.String("target", row.Id), zap.String("service", after.GetService()), zap.String("address", after.GetAddress()),
-			zap.Stringer("state", after.GetState()), zap.Stringer("stage", after.GetStage()), zap.Int64("born_ms", after.GetBornMs()), zap.Uint64("seq", row.Seq))
+			zap.Stringer("state", after.GetState()), zap.Stringer("stage", after.GetStage()), zap.Int64("born_ms", after.GetBornMs()), zap.Int64("ended_ms", after.GetEndedMs()), zap.Uint64("seq", row.Seq))
 	}
 	return taken
 }
