Raise the base of the first orders when more first targets show

Cause: the first purchase goes by the targets present at first. Change: while only reclaimable targets were ordered, a higher count of regular ones raises base and order.

--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -91,6 +91,29 @@
 	})
 }
 
+// TestFirstTargetsThatShowLate orders when one of three first targets is known.
+// Load pattern: bursts from the first seconds on, with the first targets starting
+// one after the other. Later dear ones, ordered by the plan, raise no base.
+func TestFirstTargetsThatShowLate(t *testing.T) {
+	s := &site{last: map[Subject]Order{}, count: Count{Regular: 1}}
+	s.step(true)
+	require.Equal(t, 1, s.ordered(true))
+	s.count.Regular = 3
+	for len(s.step(true)) > 0 {
+	}
+	require.Equal(t, 3, s.ordered(true), "as many again as there were at first")
+	require.Equal(t, 3, s.last[Subject{"lm", "d1", true}].Base)
+
+	s.count.Reclaimed = 3
+	for len(s.step(true)) > 0 {
+	}
+	dear := s.ordered(false)
+	s.count = Count{Regular: dear}
+	for len(s.step(true)) > 0 {
+	}
+	require.Equal(t, 3, s.last[Subject{"lm", "d1", true}].Base)
+}
+
 func TestNoPurchaseWithoutNeed(t *testing.T) {
 	plain := &catalog.Service{Name: "desk"}
 	require.Empty(t, Purchase(plain, map[string]Count{"d1": {Regular: 3}}, nil, settled))
--- a/plan/purchase.go
+++ b/plan/purchase.go
@@ -123,6 +123,11 @@
 		first := min(d.most, int(spare*float64(d.count.Regular))) - d.count.Regular
 		return d.order(true, first, d.count.Regular), first > 0
 	}
+	if _, ordered := last[Subject{d.service, d.domain, false}]; !ordered && d.count.Regular > cheap.Base {
+		// The first order went out before all the first targets were known.
+		first := min(d.most, int(spare*float64(d.count.Regular))) - d.count.Regular
+		return d.order(true, max(first, cheap.Count), d.count.Regular), true
+	}
 	given := cheap.Base
 	if dear, ok := last[Subject{d.service, d.domain, false}]; ok {
 		given = dear.Count
