Measure freshness on the clock that goes on in a suspension; be sure of no silence after one

And a control instance that had been away longer than the span took all others for gone: the first entry heard after it made a usage window's figures complete without the rest, and counted as the only one for the retry budget. Ruled out as sufficient: the change of clock alone; in the table it makes the second fault worse, since Go's clock hid the silence. Wanted lost its unused time.

--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -134,13 +134,18 @@
 	heard    bool
 }
 
-func (f *fakeTable) Counters(int64) []*peer.Counter { return f.counters }
-func (f *fakeTable) DropSettled()                   {}
-func (f *fakeTable) EveryoneSince(time.Time) bool   { return f.heard }
+func (f *fakeTable) Counters(int64) []*peer.Counter   { return f.counters }
+func (f *fakeTable) DropSettled()                     {}
+func (f *fakeTable) EveryoneSince(time.Duration) bool { return f.heard }
+
+// at is a moment that long after the time of day of an hour, on both clocks.
+func at(later time.Duration) moment {
+	return moment{time.UnixMilli(0).Add(time.Hour + later), time.Hour + later}
+}
 
 type noPlan struct{}
 
-func (noPlan) Wanted(time.Time) []Action { return nil }
+func (noPlan) Wanted() []Action { return nil }
 
 // TestReportRepeatsCommittedFigures loses the platform's answer, lets the counter
 // grow, and changes the leader: the report must be the same, byte for byte, and
@@ -154,25 +159,24 @@
 		a := New(&fakeVoter{log: l, incarnation: incarnation, leads: true}, map[string]Sender{control.UsageIntent: target}, event.Nop())
 		return NewDuties(config, a, table, noPlan{}, event.Nop())
 	}
-	start := time.UnixMilli(0).Add(60 * time.Minute)
 	first := duties("A")
-	first.pass(context.Background(), start)
-	first.pass(context.Background(), start.Add(2*time.Second))
+	first.pass(context.Background(), at(0))
+	first.pass(context.Background(), at(2*time.Second))
 	require.NotEmpty(t, target.taken)
 
 	table.counters[0] = &peer.Counter{Source: "s", Window: 0, Workspace: "w", Requests: 2, OutputTokens: 25}
 	l.term = 2
 	target.silent = false
 	second := duties("B")
-	second.pass(context.Background(), start.Add(10*time.Second))
+	second.pass(context.Background(), at(10*time.Second))
 	for _, payload := range target.taken {
 		require.Equal(t, target.taken[0], payload)
 	}
-	second.pass(context.Background(), start.Add(70*time.Second))
+	second.pass(context.Background(), at(70*time.Second))
 	require.Equal(t, target.taken[0], target.taken[len(target.taken)-1],
 		"the platform does not check fencing numbers, so the next window waits until A is released")
 	l.release("A")
-	second.pass(context.Background(), start.Add(72*time.Second))
+	second.pass(context.Background(), at(72*time.Second))
 	require.Contains(t, target.taken[len(target.taken)-1], `"output_tokens":15`)
 }
 
@@ -183,11 +187,10 @@
 	table := &fakeTable{}
 	a := New(&fakeVoter{log: l, incarnation: "A", leads: true}, nil, event.Nop())
 	d := NewDuties(DutiesConfig{Window: time.Minute, Grace: time.Second}, a, table, noPlan{}, event.Nop())
-	now := time.UnixMilli(0).Add(time.Hour)
-	d.since = now.Add(-time.Minute)
-	d.closeWindow(context.Background(), now.Add(2*time.Second))
+	d.since = at(-time.Minute).now
+	d.closeWindow(context.Background(), at(2*time.Second))
 	require.Zero(t, l.machine.SettledWindow())
 	table.heard = true
-	d.closeWindow(context.Background(), now.Add(2*time.Second))
-	require.Equal(t, now.Add(-time.Minute).UnixMilli(), l.machine.SettledWindow())
+	d.closeWindow(context.Background(), at(2*time.Second))
+	require.Equal(t, at(-time.Minute).wall.UnixMilli(), l.machine.SettledWindow())
 }
--- a/authority/duties.go
+++ b/authority/duties.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"auburnscale/clock"
 	"auburnscale/control"
 	"auburnscale/event"
 	"auburnscale/peer"
@@ -17,12 +18,12 @@
 type Counters interface {
 	Counters(window int64) []*peer.Counter
 	DropSettled()
-	EveryoneSince(at time.Time) bool
+	EveryoneSince(at time.Duration) bool
 }
 
 // Planner says which actions are wanted now.
 type Planner interface {
-	Wanted(now time.Time) []Action
+	Wanted() []Action
 }
 
 // dutyInterval is the time between two looks at what is to be done.
@@ -46,10 +47,11 @@
 	counters  Counters
 	planner   Planner
 	logger    *event.Logger
-	since     time.Time
-	stop      chan struct{}
-	done      chan struct{}
-	stopOnce  sync.Once
+	// since is when this voter began to hold the lease, on clock.Now; 0 if not.
+	since    time.Duration
+	stop     chan struct{}
+	done     chan struct{}
+	stopOnce sync.Once
 }
 
 // NewDuties returns the duties of a voter. They rest while it holds no lease.
@@ -81,7 +83,7 @@
 		case <-d.stop:
 			return
 		case <-ticker.C:
-			d.pass(ctx, time.Now())
+			d.pass(ctx, moment{clock.Wall(), clock.Now()})
 		}
 	}
 }
@@ -91,20 +93,27 @@
 	cancel()
 }
 
-func (d *Duties) pass(ctx context.Context, now time.Time) {
+// A moment represents one moment on both clocks: the time of day, which window
+// edges go by, and clock.Now, which waits go by.
+type moment struct {
+	wall time.Time
+	now  time.Duration
+}
+
+func (d *Duties) pass(ctx context.Context, at moment) {
 	if !d.authority.voter.MayAct() {
-		d.since = time.Time{}
+		d.since = 0
 		return
 	}
-	if d.since.IsZero() {
-		d.since = now
+	if d.since == 0 {
+		d.since = at.now
 	}
 	d.authority.Resolve(ctx)
 	if d.config.Reports {
-		d.closeWindow(ctx, now)
+		d.closeWindow(ctx, at)
 		d.report(ctx)
 	}
-	for _, action := range d.planner.Wanted(now) {
+	for _, action := range d.planner.Wanted() {
 		_ = d.authority.Act(ctx, action)
 	}
 }
@@ -112,10 +121,11 @@
 // closeWindow commits the figures of the last window that ended, once its grace
 // is over and every living instance has sent its counters since the window's
 // end. A new leader first waits a grace, in which the instances find it.
-func (d *Duties) closeWindow(ctx context.Context, now time.Time) {
-	window := now.Add(-d.config.Grace).Truncate(d.config.Window).Add(-d.config.Window)
+func (d *Duties) closeWindow(ctx context.Context, at moment) {
+	window := at.wall.Add(-d.config.Grace).Truncate(d.config.Window).Add(-d.config.Window)
 	end := window.Add(d.config.Window)
-	if now.Sub(d.since) < d.config.Grace || !d.counters.EveryoneSince(end) {
+	ended := at.now - at.wall.Sub(end)
+	if at.now-d.since < d.config.Grace || !d.counters.EveryoneSince(ended) {
 		return
 	}
 	var last int64
--- a/authority/meter.go
+++ b/authority/meter.go
@@ -125,7 +125,7 @@
 		}
 		m.report(ctx)
 	}
-	for _, action := range m.config.Planner.Wanted(time.Now()) {
+	for _, action := range m.config.Planner.Wanted() {
 		m.authority.Start(ctx, action)
 	}
 }
--- a/authority/meter_test.go
+++ b/authority/meter_test.go
@@ -49,7 +49,7 @@
 
 type noPlans struct{}
 
-func (noPlans) Wanted(time.Time) []Action { return nil }
+func (noPlans) Wanted() []Action { return nil }
 
 func newMeter(v *fakeVoter, source BegunSource, sender Sender) *Meter {
 	encode := func(w *peer.Window, lengthMs int64) ([]byte, error) {
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -3,7 +3,11 @@
 // suspended. Go's monotonic time does not, so a lease counted on it outlives its
 // term in a suspension.
 //
-// It owns that one reading. It must not import any other package of this module.
+// It also reads the time of day, apart, for what people and other systems date:
+// window edges, rule hours, the audit trail. The time of day steps, so nothing
+// that must end in time goes by it.
+//
+// It owns these two readings. It must not import any other package of this module.
 //
 // # Usage
 //
@@ -17,6 +21,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// Wall returns the time of day without Go's monotonic reading, so that a
+// difference between two of them is never taken for a duration that holds.
+func Wall() time.Time { return time.Now().Round(0) }
+
 // Now returns the time since the machine started, including suspensions.
 func Now() time.Duration {
 	var t unix.Timespec
--- a/experiment/site.go
+++ b/experiment/site.go
@@ -223,7 +223,7 @@
 
 func (s *site) inventory() string {
 	var b strings.Builder
-	b.WriteString("currency = \"AUD\"\n\n[[services]]\nname = \"reading\"\nkind = \"engine\"\nmodels = [\"rider\"]\n")
+	b.WriteString("currency = \"AUD\"\n\n[[services]]\nname = \"reading\"\nkind = \"engine\"\nmodels = [\"reader\"]\n")
 	for _, domain := range s.scenario.Domains {
 		fmt.Fprintf(&b, "\n[[failure_domains]]\nname = %q\n", domain)
 		for i, engine := range s.engines[domain] {
--- a/measure/relay.sh
+++ b/measure/relay.sh
@@ -30,7 +30,7 @@
 data_folder = "$run/data"
 TOML
 {
-    printf 'currency = "AUD"\n[[failure_domains]]\nname = "d"\n[[services]]\nname = "s"\nkind = "engine"\nmodels = ["rider"]\n[[workspaces]]\nname = "w"\n'
+    printf 'currency = "AUD"\n[[failure_domains]]\nname = "d"\n[[services]]\nname = "s"\nkind = "engine"\nmodels = ["reader"]\n[[workspaces]]\nname = "w"\n'
     printf '[[keys]]\nid = "w"\nworkspace = "w"\nhash = "%s"\n' "$(printf 'w.secret' | sha256sum | cut -d' ' -f1)"
     for n in 1 2 3 4; do printf '[[targets]]\nname = "t%d"\nservice = "s"\nfailure_domain = "d"\naddress = "127.0.0.%d:8000"\nslots = 64\n' $n $((61 + n)); done
 } >"$run/inventory.toml"
@@ -66,7 +66,7 @@
 share = 1.0
 [[phases]]
 rate = $rate.0
-model = "rider"
+model = "reader"
 prompt_tokens = 400.0
 output_tokens = $tokens.0
 TOML
--- a/member/table.go
+++ b/member/table.go
@@ -11,10 +11,10 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
-	"auburnscale/clock"
 	"auburnscale/control"
 	"auburnscale/delta"
 	"auburnscale/peer"
+	"auburnscale/silence"
 	"auburnscale/voter"
 )
 
@@ -29,7 +29,9 @@
 // A Table represents a voter's knowledge of the instances. Only the leader's is
 // current; it is rebuilt from heartbeats after a change of leader.
 type Table struct {
-	voter     *voter.Voter
+	voter *voter.Voter
+	// now is the clock of heartbeats and freshness, clock.Now but in tests.
+	now       func() time.Duration
 	interval  time.Duration
 	freshness time.Duration
 
@@ -37,12 +39,20 @@
 	term     uint64
 	rows     map[string]*row
 	counters map[counterKey]*peer.Counter
+	ear      *silence.Ear
 }
 
 type row struct {
-	member  *peer.Member
-	heard   time.Time
-	granted time.Time
+	member *peer.Member
+	heard  time.Duration
+	// granted is until when the instance may serve by what it has confirmed.
+	granted time.Duration
+}
+
+// mayServe reports whether the instance may still serve by a state older than the
+// revision.
+func (r *row) mayServe(revision uint64, now time.Duration) bool {
+	return r.member.Revision < revision && now < r.granted
 }
 
 type counterKey struct {
@@ -51,9 +61,9 @@
 	workspace string
 }
 
-// NewTable returns an empty table over the voter's state.
-func NewTable(v *voter.Voter, interval, freshness time.Duration) *Table {
-	return &Table{voter: v, interval: interval, freshness: freshness, rows: map[string]*row{}, counters: map[counterKey]*peer.Counter{}}
+// NewTable returns an empty table over the voter's state, on the clock.
+func NewTable(v *voter.Voter, now func() time.Duration, interval, freshness time.Duration) *Table {
+	return &Table{ear: silence.New(aliveIntervals * interval), voter: v, now: now, interval: interval, freshness: freshness, rows: map[string]*row{}, counters: map[counterKey]*peer.Counter{}}
 }
 
 // Sync answers one heartbeat. Any voter answers with what it has; only a leader
@@ -61,7 +71,7 @@
 func (t *Table) Sync(ctx context.Context, request *peer.SyncRequest) (*peer.SyncResponse, error) {
 	standing := t.voter.Standing()
 	answer := &peer.SyncResponse{Leader: standing.Leader(), Term: standing.Term()}
-	current := standing.MayAct(clock.Now())
+	current := standing.MayAct(t.now())
 	if current && !t.join(ctx, request) {
 		return &peer.SyncResponse{Replaced: true}, nil
 	}
@@ -158,8 +168,9 @@
 		t.rows = map[string]*row{}
 		t.counters = map[counterKey]*peer.Counter{}
 	}
-	now := time.Now()
-	t.rows[request.Instance] = &row{heard: now, granted: now.Add(t.freshness), member: &peer.Member{
+	now := t.now()
+	t.ear.Hear(now)
+	t.rows[request.Instance] = &row{heard: now, granted: now + t.freshness, member: &peer.Member{
 		Instance: request.Instance, Incarnation: request.Incarnation, Domain: request.Domain, Address: request.Address,
 		Alive: true, Draining: request.Draining, Version: request.Version, Revision: request.Revision,
 	}}
@@ -208,7 +219,7 @@
 	return h.Sum64()
 }
 
-func (t *Table) alive(r *row) bool { return time.Since(r.heard) < aliveIntervals*t.interval }
+func (t *Table) alive(r *row) bool { return t.now()-r.heard < aliveIntervals*t.interval }
 
 func (t *Table) living() int32 {
 	t.mutex.Lock()
@@ -239,7 +250,7 @@
 		}
 		m := proto.Clone(r.member).(*peer.Member)
 		m.Alive = t.alive(r)
-		m.SilentMs = time.Since(r.heard).Milliseconds()
+		m.SilentMs = (t.now() - r.heard).Milliseconds()
 		list = append(list, m)
 	}
 	slices.SortFunc(list, func(a, b *peer.Member) int { return cmp.Compare(a.Instance, b.Instance) })
@@ -252,7 +263,7 @@
 // until the freshness an earlier leader may have granted has run out.
 func (t *Table) Fresh(revision uint64) []string {
 	standing := t.voter.Standing()
-	earlier := time.Now().Before(standing.Since().Add(t.freshness))
+	earlier := t.now() < standing.Since()+t.freshness
 	members := t.Members()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -262,7 +273,7 @@
 		if r == nil && earlier {
 			list = append(list, m.Instance)
 		}
-		if r != nil && r.member.Revision < revision && time.Now().Before(r.granted) {
+		if r != nil && r.mayServe(revision, t.now()) {
 			list = append(list, m.Instance)
 		}
 	}
@@ -303,12 +314,15 @@
 	})
 }
 
-// EveryoneSince reports whether all living instances were heard since the time.
-func (t *Table) EveryoneSince(at time.Time) bool {
+// EveryoneSince reports whether all living instances were heard since the time on
+// the table's clock. While nobody is heard, or had not been until just now, the
+// silence is this voter's own and tells nothing about who lives.
+func (t *Table) EveryoneSince(at time.Duration) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	sure := t.ear.Sure(t.now())
 	for _, r := range t.rows {
-		if t.alive(r) && r.heard.Before(at) {
+		if (t.alive(r) || !sure) && r.heard < at {
 			return false
 		}
 	}
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -122,9 +122,9 @@
 name = "launceston"
 
 [[services]]
-name = "rider-reading"
+name = "reading"
 kind = "engine"
-models = ["rider"]
+models = ["reader"]
 
 [[services]]
 name = "order-desk"
@@ -140,7 +140,7 @@
 TOML
 number=0
 for domain in hobart launceston; do
-    for service in rider-reading rider-reading order-desk; do
+    for service in reading reading order-desk; do
         number=$((number + 1))
         printf '\n[[targets]]\nname = "t%d"\nservice = "%s"\nfailure_domain = "%s"\naddress = "127.0.0.%d:8000"\nhonours_fencing = true\ntoken_cost = 300\n' \
             $number $service $domain $((30 + number)) >>"$run/inventory.toml"
@@ -156,7 +156,7 @@
 
 [[allow]]
 workspace = "venue"
-service = "rider-reading"
+service = "reading"
 TOML
 cp "$run/rules.toml" "$run/rules2.toml"
 printf '\n[[allow]]\nworkspace = "venue"\nservice = "order-desk"\n' >>"$run/rules2.toml"
@@ -177,7 +177,7 @@
     curl -sS -N --max-time 30 "$@" -H "Authorization: Bearer $(cat "$run/$key.key")" -H 'Content-Type: application/json' -d "$body" "$(caller "$instance")$path"
 }
 chat() { # chat INSTANCE KEY TOKENS STREAM
-    post "$1" "$2" /v1/chat/completions '{"model":"rider","stream":'"$4"',"max_tokens":'"$3"',"messages":[{"role":"user","content":"Which clauses name dairy?"}]}'
+    post "$1" "$2" /v1/chat/completions '{"model":"reader","stream":'"$4"',"max_tokens":'"$3"',"messages":[{"role":"user","content":"Which clauses name dairy?"}]}'
 }
 
 alive() { # every started process is still there a moment later
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -11,7 +11,7 @@
 //
 //	r := roster.New(now)
 //	changed := r.Merge(row)
-//	for _, t := range r.Snapshot().Service("rider-reading") { ... }
+//	for _, t := range r.Snapshot().Service("reading") { ... }
 package roster
 
 import (
--- a/route/target.go
+++ b/route/target.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	fleet := route.NewFleet(targets, "hobart")
+//	fleet := route.NewFleet(targets, "d1")
 //	decision := policy.Choose(fleet, route.Request{PromptTokens: 900, Pieces: pieces}, random)
 //	decision.Target().Begin(work)
 //	defer decision.Target().End(work)
--- a/serve/outward.go
+++ b/serve/outward.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"time"
 
 	"auburnscale/authority"
 	"auburnscale/control"
@@ -75,7 +74,7 @@
 
 // Wanted returns an order for each engine whose reported role differs from the
 // inventory's and that is not changing now.
-func (r *rolePlanner) Wanted(_ time.Time) []authority.Action {
+func (r *rolePlanner) Wanted() []authority.Action {
 	snapshot := r.views.View().Snapshot()
 	if snapshot == nil {
 		return nil
--- a/serve/process.go
+++ b/serve/process.go
@@ -27,6 +27,7 @@
 	"auburnscale/authority"
 	"auburnscale/caller"
 	"auburnscale/certificate"
+	"auburnscale/clock"
 	"auburnscale/control"
 	"auburnscale/engine"
 	"auburnscale/event"
@@ -177,7 +178,7 @@
 		Limits: control.Limits{ClaimRetain: p.settings.Control.ClaimRetain.Span()}, Incarnation: p.incarnation,
 		Seed: uint64(time.Now().UnixNano()),
 	}, folder, p.senders, p.logger)
-	p.table = member.NewTable(p.voter, p.settings.Control.SyncInterval.Span(), p.settings.Control.Freshness.Span())
+	p.table = member.NewTable(p.voter, clock.Now, p.settings.Control.SyncInterval.Span(), p.settings.Control.Freshness.Span())
 	return nil
 }
 
--- a/serve/steward.go
+++ b/serve/steward.go
@@ -83,7 +83,7 @@
 }
 
 // Wanted returns the orders to give now.
-func (s *steward) Wanted(time.Time) []authority.Action {
+func (s *steward) Wanted() []authority.Action {
 	now := clock.Now()
 	if now-s.looked < stewardInterval {
 		return nil
--- a/slope/control.go
+++ b/slope/control.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"auburnscale/bind"
+	"auburnscale/clock"
 	"auburnscale/control"
 	"auburnscale/delta"
 	"auburnscale/event"
@@ -81,7 +82,7 @@
 		ID: id, InitialVoters: []uint64{1, 2, 3}, Timing: quorum.DefaultTiming, Seed: id,
 		Limits: control.Limits{ClaimRetain: time.Hour}, Incarnation: fmt.Sprint("voter", id),
 	}, folder, senders, event.Nop())
-	table := member.NewTable(v, interval, freshness)
+	table := member.NewTable(v, clock.Now, interval, freshness)
 	server, err := link.Listen(g.addresses[id], link.Handler(linkKey, serve.NewVoterServer(v, table)), nil)
 	if err != nil {
 		return err
--- a/target/book.go
+++ b/target/book.go
@@ -9,7 +9,7 @@
 //
 //	book := target.NewBook(config, views, engines, logger)
 //	book.Start()
-//	service := book.Service("rider-reading")
+//	service := book.Service("reading")
 //	decision := service.Choose(request)
 package target
 
--- a/voter/run.go
+++ b/voter/run.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"auburnscale/clock"
 	"auburnscale/event"
 	"auburnscale/peer"
 	"auburnscale/quorum"
@@ -104,11 +105,11 @@
 func (v *Voter) noticeRole() {
 	leading := v.node.Role() == quorum.Leader
 	if leading && (!v.leading || v.startTerm != v.node.Term()) {
-		v.since = time.Now()
+		v.since = clock.Now()
 		v.startTerm = v.node.Term()
 		v.log(event.LeaderElected, zap.Uint64("term", v.node.Term()))
 		v.node.Propose(v.now(), []*peer.Command{{
-			AtMs: time.Now().UnixMilli(),
+			AtMs: clock.Wall().UnixMilli(),
 			Body: &peer.Command_StartTerm{StartTerm: &peer.StartTerm{Issuer: v.config.Incarnation}},
 		}})
 	}
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -100,7 +100,7 @@
 	members []quorum.MemberStatus
 	heard   time.Duration
 	voters  *peer.Voters
-	since   time.Time
+	since   time.Duration
 }
 
 // Leader returns the id of the leader, or 0.
@@ -115,8 +115,8 @@
 // Voters returns the voter set in force.
 func (s *Standing) Voters() *peer.Voters { return s.voters }
 
-// Since returns when this voter became the leader of the term.
-func (s *Standing) Since() time.Time { return s.since }
+// Since returns when, on clock.Now, this voter became the leader of the term.
+func (s *Standing) Since() time.Duration { return s.since }
 
 // Silence returns the time since this voter heard a leader, or led.
 func (s *Standing) Silence() time.Duration { return clock.Now() - s.heard }
@@ -144,7 +144,7 @@
 	appliedTerm uint64
 	compacted   uint64
 	leading     bool
-	since       time.Time
+	since       time.Duration
 	startTerm   uint64
 	broken      bool
 
@@ -241,7 +241,7 @@
 func (v *Voter) Propose(ctx context.Context, command *peer.Command) (*peer.Result, error) {
 	// The log keeps its own copy: the caller may propose the same command again.
 	command = proto.Clone(command).(*peer.Command)
-	command.AtMs = time.Now().UnixMilli()
+	command.AtMs = clock.Wall().UnixMilli()
 	return v.submit(ctx, proposal{command: command, answer: make(chan answer, 1)})
 }
 
--- a/watch/server.go
+++ b/watch/server.go
@@ -26,6 +26,7 @@
 	"auburnscale/control"
 	"auburnscale/peer"
 	"auburnscale/roster"
+	"auburnscale/silence"
 	"auburnscale/voter"
 )
 
@@ -47,8 +48,11 @@
 	incarnation string
 	voter       *voter.Voter
 	roster      *roster.Roster
+	// now is clock.Now but in tests.
+	now func() time.Duration
 
 	mutex      sync.Mutex
+	ear        *silence.Ear
 	watchers   map[string]*watcher
 	counters   map[counterKey]int64
 	suspicions map[uint64]map[string]mark
@@ -77,7 +81,7 @@
 // NewServer returns the server of a control instance's incarnation.
 func NewServer(incarnation string, v *voter.Voter, r *roster.Roster) *Server {
 	return &Server{
-		incarnation: incarnation, voter: v, roster: r, watchers: map[string]*watcher{}, counters: map[counterKey]int64{},
+		incarnation: incarnation, voter: v, roster: r, now: clock.Now, ear: silence.New(aliveFor), watchers: map[string]*watcher{}, counters: map[counterKey]int64{},
 		suspicions: map[uint64]map[string]mark{}, spread: make(chan struct{}),
 	}
 }
@@ -91,9 +95,10 @@
 }
 
 func (s *Server) note(request *peer.WatchRequest) {
-	now := clock.Now()
+	now := s.now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.ear.Hear(now)
 	s.watchers[request.Incarnation] = &watcher{
 		instance: request.Instance, control: request.Control, heard: now,
 		offset: time.Duration(request.WallMs)*time.Millisecond - now,
@@ -189,10 +194,10 @@
 }
 
 func (s *Server) entriesLocked() int32 {
-	now := clock.Now()
+	now := s.now()
 	count := int32(0)
 	for id, w := range s.watchers {
-		if now-w.heard > aliveFor {
+		if now-w.heard > aliveFor && s.ear.Sure(now) {
 			delete(s.watchers, id)
 			continue
 		}
@@ -206,8 +211,8 @@
 // trueTimeLocked is the median of the instances' times of day, this one's
 // included, so that a few clocks that stepped do not move it.
 func (s *Server) trueTimeLocked() time.Duration {
-	now := clock.Now()
-	offsets := []time.Duration{time.Duration(time.Now().UnixNano()) - now}
+	now := s.now()
+	offsets := []time.Duration{time.Duration(clock.Wall().UnixNano()) - now}
 	for _, w := range s.watchers {
 		if now-w.heard < aliveFor {
 			offsets = append(offsets, w.offset)
@@ -225,7 +230,7 @@
 }
 
 func (s *Server) suspicionsLocked() []*peer.Suspicion {
-	now := clock.Now()
+	now := s.now()
 	var list []*peer.Suspicion
 	for fingerprint, bySource := range s.suspicions {
 		each := &peer.Suspicion{Fingerprint: fingerprint}
--- a/watch/sharer.go
+++ b/watch/sharer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"auburnscale/clock"
 	"auburnscale/peer"
 )
 
@@ -40,7 +41,7 @@
 	addresses   func() []string
 	dialer      Dialer
 	work        Work
-	resting     map[string]time.Time
+	resting     map[string]time.Duration
 
 	stop     chan struct{}
 	done     chan struct{}
@@ -50,7 +51,7 @@
 // NewSharer returns a sharer over the control instances' peer addresses.
 func NewSharer(incarnation string, addresses func() []string, dialer Dialer, work Work) *Sharer {
 	return &Sharer{
-		incarnation: incarnation, addresses: addresses, dialer: dialer, work: work, resting: map[string]time.Time{},
+		incarnation: incarnation, addresses: addresses, dialer: dialer, work: work, resting: map[string]time.Duration{},
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
 }
@@ -77,7 +78,7 @@
 }
 
 func (s *Sharer) exchange() {
-	address := s.choose(time.Now())
+	address := s.choose(clock.Now())
 	if address == "" {
 		s.work.Others(nil)
 		return
@@ -87,7 +88,7 @@
 	answer, err := s.dialer.Peer(address).Share(ctx, &peer.ShareRequest{Incarnation: s.incarnation, Work: s.work.Own()})
 	if err != nil {
 		// The watch over the same instance logs that it is lost.
-		s.resting[address] = time.Now().Add(shareRest)
+		s.resting[address] = clock.Now() + shareRest
 		s.work.Others(nil)
 		return
 	}
@@ -95,11 +96,11 @@
 }
 
 // choose returns the first address in a fixed order that is not resting.
-func (s *Sharer) choose(now time.Time) string {
+func (s *Sharer) choose(now time.Duration) string {
 	addresses := s.addresses()
 	slices.Sort(addresses)
 	for _, a := range addresses {
-		if now.After(s.resting[a]) {
+		if now > s.resting[a] {
 			return a
 		}
 	}
