Soak the real programs under drawn faults

Package soak plays a drawn plan on three control instances, entries, stand-in targets, callers, an operator and the platform: kills, pauses, stops, reloads, lost folders, torn logs, cuts one way and both, delays, resets, silent connections, spoiled answers, targets that crash and leave, changes and races. Loopback forwarders stand before every listener, for which a control instance may now listen elsewhere than where it is reached (fleet.peer_listen).

--- a/bench/root.go
+++ b/bench/root.go
@@ -35,7 +35,7 @@
 // Run executes the command line and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
 	root := &cobra.Command{Use: "auburnbench", Short: "stand-ins and measurements for auburnscale", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(engineCommand(), serviceCommand(), platformCommand(), loadCommand(out, errOut), experimentCommand(out, errOut), slopeCommand(out, errOut))
+	root.AddCommand(engineCommand(), serviceCommand(), platformCommand(), loadCommand(out, errOut), experimentCommand(out, errOut), slopeCommand(out, errOut), soakCommand(out))
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
--- a/serve/control.go
+++ b/serve/control.go
@@ -203,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	c.inner, err = link.Listen(ownPeerAddress(f), link.Handler(key, &controlServer{NewVoterServer(c.voter, nil).(*peerServer), c}), nil)
+	c.inner, err = link.Listen(peerListenAddress(f), link.Handler(key, &controlServer{NewVoterServer(c.voter, nil).(*peerServer), c}), nil)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -86,6 +86,14 @@
 	return f.Address + ":" + strconv.Itoa(int(f.PeerPort))
 }
 
+// peerListenAddress is where a control instance listens for other instances.
+func peerListenAddress(f settings.Fleet) string {
+	if f.PeerListen != "" {
+		return f.PeerListen
+	}
+	return ownPeerAddress(f)
+}
+
 // A Reloader represents a process whose settings can change while it runs.
 type Reloader interface {
 	Run(ctx context.Context) error
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -28,6 +28,7 @@
 	}
 	for key, address := range map[string]string{
 		"requests": f.Requests, "readiness": f.Readiness, "operators": f.Operators, "metrics": f.Metrics, "platform": f.Platform,
+		"peer_listen": f.PeerListen,
 	} {
 		if address != "" {
 			checkAddress(path, "fleet."+key, address, list)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -128,6 +128,7 @@
 type Fleet struct {
 	Address     string   `toml:"address" doc:"IP number of this instance; empty where settings name every voter"`
 	PeerPort    uint16   `toml:"peer_port" doc:"port for other instances, the same on all of them"`
+	PeerListen  string   `toml:"peer_listen" doc:"address to listen on for other instances where a forwarder stands at address and peer_port; empty for these themselves (control role)"`
 	Seeds       []string `toml:"seeds" doc:"addresses of some control instances, as operators reach them"`
 	Found       bool     `toml:"found" doc:"true only at the first start of the whole system, with empty data folders"`
 	Requests    string   `toml:"requests" doc:"address for routed requests (entry role)"`
