Let another reader read a prompt that one does not take

Ruled out: late estimates alone (estimated 863 ms, taken 1188 ms at the ninth tenth, with most of the rest behind the reading). Change: up to three readers are asked; a refused connection or a decline is free of the budget's rule on further readings, a broken one asks the budget as before. Tests that fail on the former code: TestReaderThatIsGoneIsReplaced, TestReaderThatDeclinesIsReplaced.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -38,11 +38,14 @@
 	sends, runs int
 	// reread is true if the request goes without a hand-over from now on.
 	reread bool
+	// readers counts the targets that were asked to read the prompt.
+	readers int
 	// source names the prompt's cache at the target that read it, until a
 	// runner took it. It is offered to offers runners at most.
 	source string
 	offers int
-	reads  int
+	// reads counts the readings that a target may have begun.
+	reads int
 	// last is a target's own failure that is passed on if no other try helps.
 	last *keptReply
 
@@ -64,6 +67,9 @@
 	// maxTries bounds the targets tried for one request, unreachable ones
 	// included.
 	maxTries = 6
+	// maxReaders bounds the targets that are asked to read one prompt. After that
+	// the runner reads it, which takes longer and delays what runs there.
+	maxReaders = 3
 	// startTime is how long an instance usually takes from its start to its
 	// configuration when the control group starts with it: an election and an
 	// answer. Callers of an instance that has none come back then.
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"auburnscale/clock"
+	"auburnscale/exchange"
 	"auburnscale/route"
 )
 
@@ -24,9 +25,10 @@
 func (c *call) readElsewhere(p route.Placement) string {
 	t := p.Reader
 	if c.reads > 0 && !c.server.parts.Budget.Spend(c.service.Name, clock.Now()) {
+		c.reread = true
 		return ""
 	}
-	c.reads++
+	c.readers++
 	t.Begin(p.Work)
 	began := time.Now()
 	c.reader, c.unread = t.Name(), p.Work
@@ -36,17 +38,23 @@
 	defer cancel()
 	reply, err := c.server.parts.Dialer.Send(ctx, t.Address(), c.request(Dispatch{Target: t.Name(), ReadOnly: true}))
 	if err != nil {
+		if !exchange.NotSent(err) {
+			c.reads++
+		}
 		c.noteError(t, err)
 		return ""
 	}
 	defer reply.Close()
 	said := c.note(t, reply)
+	if !said.NotRun {
+		c.reads++
+	}
 	if reply.Status() != http.StatusOK || said.NotRun {
 		c.server.parts.Fleets.Failed(c.service.Name, t, said.Other)
 		t.Decline(time.Now())
 		c.avoid = append(c.avoid, t.Name())
-		// The read was rejected and counts as an arrival; the direct one that
-		// follows is the request's first.
+		// The read was rejected and counts as an arrival; the one that follows is
+		// the request's first.
 		c.server.parts.Budget.Note(c.service.Name, clock.Now())
 		return ""
 	}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -89,6 +89,41 @@
 	require.LessOrEqual(t, b.runs(id), 1)
 }
 
+// TestReaderThatIsGoneIsReplaced has one of two readers crash under long prompts,
+// each of another subject. The other reads them: a runner that read them itself
+// would delay all its streams.
+func TestReaderThatIsGoneIsReplaced(t *testing.T) {
+	b := newBed(t, 3)
+	b.announce(0, peer.TargetRow_PREFILL)
+	b.announce(1, peer.TargetRow_PREFILL)
+	b.announce(2, peer.TargetRow_DECODE)
+	b.targets[0].Close()
+	for i := range 6 {
+		a, _ := b.send(http.MethodPost, "/streams/1", "X-Model", "m", "X-Token-Count", "50000,10", "X-Prefix-Hash", fmt.Sprintf("a%d:40000,b2:10000", i))
+		require.Equal(t, threeEvents, a.body)
+		require.NotEmpty(t, b.targets[2].Seen()[i].Source, "request %d was read by the runner", i)
+	}
+}
+
+// TestReaderThatDeclinesIsReplaced has the reader that is asked first decline.
+func TestReaderThatDeclinesIsReplaced(t *testing.T) {
+	b := newBed(t, 3)
+	b.announce(0, peer.TargetRow_PREFILL)
+	b.announce(1, peer.TargetRow_PREFILL)
+	b.announce(2, peer.TargetRow_DECODE)
+	var asked atomic.Int64
+	decline := func(t *standin.Target, w http.ResponseWriter, r *http.Request) bool {
+		return asked.Add(1) == 1 && standin.Refuse(t, w, r)
+	}
+	b.targets[0].Script(decline)
+	b.targets[1].Script(decline)
+	a, id := b.send(http.MethodPost, "/streams/1", "X-Model", "m", "X-Token-Count", "50000,10", "X-Prefix-Hash", "a1:40000,b2:10000")
+	require.Equal(t, threeEvents, a.body)
+	require.Equal(t, 1, b.runs(id))
+	require.Len(t, b.targets[2].Seen(), 1)
+	require.NotEmpty(t, b.targets[2].Seen()[0].Source)
+}
+
 // TestRunnerThatLeavesWhileThePromptIsRead has the chosen runner say that it
 // leaves. The request goes to another one.
 func TestRunnerThatLeavesWhileThePromptIsRead(t *testing.T) {
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -45,7 +45,7 @@
 		}
 		if c.source == "" {
 			// The prompt could not be read there; place it anew.
-			c.reread = true
+			c.reread = c.reread || c.readers >= maxReaders
 			return false, nil
 		}
 		if p.Runner = c.runnerNow(p.Runner); p.Runner == nil {
