End the quiet time of restarted voters once all have restarted

Change: a voter that starts tells the others the term that it started with. Once every voter has started again with the own term or a later one, whoever led that term lost the lease with its process; then there is no promise left to keep, and the voters campaign one after the other.

--- a/quorum/node.go
+++ b/quorum/node.go
@@ -63,6 +63,7 @@
 // show that each rule is needed; nothing but tests sets them.
 type Guards struct {
 	NoPromiseAfterRestart bool
+	QuorumEndsQuiet       bool
 	LeaseFromReceipt      bool
 	NoCatchUp             bool
 }
@@ -128,6 +129,8 @@
 	// promise is the time before which this voter helps elect nobody. It
 	// outlives changes of role and term.
 	promise time.Duration
+	// resume says whether the quiet time after a start can end early.
+	resume resume
 
 	votes    map[uint64]bool
 	preVote  bool
@@ -152,6 +155,7 @@
 	n.commit = restored.Snapshot.GetIndex()
 	n.stored = n.log.lastIndex()
 	n.drawTimeout()
+	n.resume = newResume(n.term, n.log.lastTerm())
 	return n
 }
 
@@ -208,6 +212,7 @@
 		n.tickLeader(now)
 		return
 	}
+	n.tickResume(now)
 	if now-n.heard < n.timeout || now-n.started < n.quiet() || now < n.promise {
 		return
 	}
@@ -240,6 +245,10 @@
 
 // Receive handles one message of another voter.
 func (n *Node) Receive(now time.Duration, m *peer.Message) {
+	if m.Kind == peer.Message_RESUMED {
+		n.receiveResumed(now, m)
+		return
+	}
 	if n.keepsPromise(now, m) {
 		return
 	}
@@ -279,7 +288,7 @@
 // quiet is how long a started voter neither votes nor campaigns, since it may
 // have made a promise that it no longer remembers.
 func (n *Node) quiet() time.Duration {
-	if n.config.Guards.NoPromiseAfterRestart {
+	if n.config.Guards.NoPromiseAfterRestart || n.resume.ended {
 		return 0
 	}
 	return n.config.Timing.Promise
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -27,6 +27,8 @@
 check holds lease.pml
 check fails lease.pml NO_QUIET
 check fails lease.pml FROM_RECEIPT
+check fails lease.pml QUORUM_ENDS
+check fails lease.pml ANY_TERM_ENDS
 check holds intent.pml
 check fails intent.pml NO_RELEASE
 check holds intent.pml FENCED
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -4,10 +4,14 @@
  * A leader's lease runs LEASE ticks from when it sent the heartbeat that a
  * quorum acknowledged. An acknowledging voter promises for PROMISE ticks not to
  * help elect another. The promise is lost at a restart; a restarted voter keeps
- * quiet for PROMISE ticks instead.
+ * quiet for PROMISE ticks instead. It may end that early once every voter has
+ * restarted with its term or a later one: whoever led the term that the promise
+ * was made in has lost its lease with its process.
  *
  * Guards, removed by -D:
  *   NO_QUIET        a restarted voter votes at once
+ *   QUORUM_ENDS     restarts of a quorum end the quiet time
+ *   ANY_TERM_ENDS   restarts with whatever term end the quiet time
  *   FROM_RECEIPT    the lease runs from the receipt of the acknowledgement
  */
 #define N 3
@@ -19,6 +23,8 @@
 byte term[N];       /* stored: survives a restart */
 byte vote[N];       /* stored: whom this voter voted for in its term */
 byte promise[N];    /* ticks left */
+byte resumed[N];    /* the term at the last restart */
+bit quiet[N];       /* the promise stands for one that a restart forgot */
 byte leads[N];      /* the term this voter leads, or 0 */
 byte lease[N];      /* ticks left */
 byte age[N];        /* ticks since the open heartbeat was sent */
@@ -43,8 +49,21 @@
 #else
     promise[i] = PROMISE
 #endif
+    resumed[i] = term[i];
+    quiet[i] = 1
 }
 
+#define told(i, k) ((k) == (i) || resumed[k] >= resumed[i])
+#ifdef QUORUM_ENDS
+#define ends(i) (told(i, ((i) + 1) % N) || told(i, ((i) + 2) % N))
+#else
+#ifdef ANY_TERM_ENDS
+#define ends(i) (quiet[0] && quiet[1] && quiet[2])
+#else
+#define ends(i) (told(i, 0) && told(i, 1) && told(i, 2))
+#endif
+#endif
+
 inline tick() {
     byte k = 0;
     do
@@ -99,6 +118,7 @@
     :: else
     fi;
     forget(j);
+    quiet[j] = 0;
     promise[j] = PROMISE;
     acks[i] = acks[i] | bitOf(j)
 }
@@ -127,6 +147,7 @@
         if
         :: tick()
         :: restart(i)
+        :: quiet[i] && ends(i) -> promise[i] = 0; quiet[i] = 0
         :: promise[i] == 0 && leads[i] == 0 && term[i] < TERMS -> campaign(i)
         :: i != j && asking[i] && promise[j] == 0 && term[j] <= term[i] -> giveVote(i, j)
         :: asking[i] && quorum(granted[i]) -> lead(i)
