--- a/quorum/log.go
+++ b/quorum/log.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"auburnscale/peer"
@@ -65,6 +67,23 @@
 	return l.entries[first-l.firstIndex() : last-l.firstIndex()+1]
 }
 
+// votersSince returns every voter from the beginning of the term on, as far as the
+// log says.
+func (l *log) votersSince(term uint64) []uint64 {
+	ids := slices.Clone(l.initial.GetIds())
+	if l.snapshot != nil {
+		ids = slices.Clone(l.snapshot.Voters.GetIds())
+	}
+	for _, e := range l.entries {
+		if e.Voters != nil && e.Term < term {
+			ids = nil
+		}
+		ids = append(ids, e.Voters.GetIds()...)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // page returns entries from first on, bounded in number and bytes.
 func (l *log) page(first uint64) []*peer.Entry {
 	all := l.slice(first, first+maxAppendEntries-1)
--- a/quorum/resume.go
+++ b/quorum/resume.go
@@ -69,10 +69,11 @@
 }
 
 // allResumed reports whether every voter has restarted since the promise that
-// this voter may have given.
+// this voter may have given. A leader that leaves the voters leads until its
+// leaving is committed, so that those count that were voters in that term.
 func (n *Node) allResumed() bool {
 	count := 0
-	voters := n.log.voters().Ids
+	voters := n.log.votersSince(n.resume.term)
 	for _, id := range voters {
 		if term, heard := n.resume.terms[id]; id == n.config.ID || heard && term >= n.resume.term {
 			count++
