--- a/plan/purchase.go
+++ b/plan/purchase.go
@@ -36,10 +36,10 @@
 }
 
 const (
-	// spare is how many targets are wanted for each one present at first.
-	// Reclaimable ones cost a fraction, and a reclaim takes a whole failure
-	// domain of them at a time.
-	spare = 2.0
+	// spare is how many targets are wanted for each one present at first, if so
+	// many can be ordered. Reclaimable ones cost a fraction, and a reclaim takes
+	// a whole failure domain of them at a time.
+	spare = 3.0
 	// keepShare is the part of the first targets that is kept when reclaimable
 	// ones serve beside them.
 	keepShare = 1.0
