Keep idle connections for as long as targets say

Each entry sends to a target less than once a second, so that more than half of the exchanges opened a new one. Hazards: a target may drop an idle connection without a word, and then nobody knows whether a request sent on it ran. So requests that may be repeated use such connections first; the others do after ten of those went well, and orders that run once have one of their own as before. An exchange that fails at once on a connection that was idle shortens the idle time of all for a minute and begins the trust anew. Tests: TestIdleTimeByRequest, TestDroppedConnectionShortensTheIdleTime.

--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -26,6 +27,9 @@
 	// Fresh asks for a connection of its own. On a kept one the target may close
 	// just when the request comes, and then nobody knows whether it ran.
 	Fresh bool
+	// Repeatable tells that the request can be sent again. It may then use a
+	// connection that was idle for long.
+	Repeatable bool
 }
 
 // A Reply represents an answer whose body is still being read, as the target
@@ -72,13 +76,18 @@
 // if there is one. The context's end closes the connection, also while the body
 // is read.
 func (d *Dialer) Send(ctx context.Context, address string, r *Request) (*Reply, error) {
-	l, err := d.connect(ctx, address, r.Fresh)
+	l, err := d.connect(ctx, address, r)
 	if err != nil {
 		return nil, &Error{err: fmt.Errorf("connect to %s: %w", address, err)}
 	}
 	p := &Reply{dialer: d, address: address, line: l, written: make(chan error, 1)}
 	p.stop = context.AfterFunc(ctx, func() { l.Close() })
-	if err := p.exchange(r); err != nil {
+	sent := time.Now()
+	err = p.exchange(r)
+	if l.used {
+		d.noteKept(ctx, l, err, time.Since(sent))
+	}
+	if err != nil {
 		p.Close()
 		if ctx.Err() != nil {
 			err = errors.Join(ctx.Err(), err)
@@ -88,11 +97,25 @@
 	return p, nil
 }
 
-func (d *Dialer) connect(ctx context.Context, address string, fresh bool) (*line, error) {
+// dropShows is how soon a dropped connection shows after something was sent: a
+// round trip. What takes longer is a target that broke off.
+const dropShows = 25 * time.Millisecond
+
+// noteKept notes how an exchange over a kept connection went.
+func (d *Dialer) noteKept(ctx context.Context, l *line, err error, took time.Duration) {
+	switch {
+	case err == nil:
+		d.kept.worked(l.idle)
+	case ctx.Err() == nil && took < dropShows && l.idle > leastIdle && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)):
+		d.kept.dropped(l.idle, time.Now())
+	}
+}
+
+func (d *Dialer) connect(ctx context.Context, address string, r *Request) (*line, error) {
 	now := time.Now()
 	d.kept.sweep(now)
-	if !fresh {
-		if l := d.kept.take(address, now); l != nil {
+	if !r.Fresh {
+		if l := d.kept.take(address, r.Repeatable, now); l != nil {
 			return l, nil
 		}
 	}
--- a/exchange/plain_test.go
+++ b/exchange/plain_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -170,7 +171,7 @@
 	require.NoError(t, err)
 	require.Equal(t, "refused", string(body))
 	reply.Close()
-	require.Nil(t, d.kept.take(listener.Addr().String(), time.Now()))
+	require.Nil(t, d.kept.take(listener.Addr().String(), true, time.Now()))
 }
 
 // TestClosedConnectionIsNotUsed closes a kept connection, and sends a byte on
@@ -195,7 +196,7 @@
 			require.Equal(t, "ok", body)
 			<-done
 			require.Eventually(t, func() bool {
-				l := d.kept.take(s.listener.Addr().String(), time.Now())
+				l := d.kept.take(s.listener.Addr().String(), true, time.Now())
 				if l != nil {
 					d.kept.put(s.listener.Addr().String(), l, 0, time.Now())
 				}
@@ -213,3 +214,55 @@
 	d.kept.sweep(time.Now().Add(2 * maxIdle))
 	require.Empty(t, d.kept.lines)
 }
+
+// TestIdleTimeByRequest gives connections that were idle for long to requests
+// that may be repeated first, and to others once that has gone well.
+func TestIdleTimeByRequest(t *testing.T) {
+	now := time.Now()
+	k := &kept{}
+	require.Equal(t, unsaidIdle, k.longest(false, now))
+	require.Equal(t, maxIdle, k.longest(true, now))
+	for range trustAfter {
+		k.worked(unsaidIdle / 2)
+	}
+	require.Equal(t, unsaidIdle, k.longest(false, now), "short idle times tell nothing")
+	for range trustAfter {
+		k.worked(2 * unsaidIdle)
+	}
+	require.Equal(t, maxIdle, k.longest(false, now))
+
+	k.dropped(time.Second, now)
+	require.Equal(t, time.Second/2, k.longest(true, now.Add(time.Second)))
+	require.Equal(t, time.Second/2, k.longest(false, now.Add(time.Second)))
+	k.dropped(4*time.Second, now)
+	require.Equal(t, time.Second/2, k.longest(true, now.Add(time.Second)), "the shortest counts")
+	require.Equal(t, unsaidIdle, k.longest(false, now.Add(2*doubtTime)), "trust begins anew")
+	require.Equal(t, maxIdle, k.longest(true, now.Add(2*doubtTime)))
+}
+
+// TestDroppedConnectionShortensTheIdleTime has exchanges over kept connections
+// fail: only one that fails at once after a long idle time tells of a drop.
+func TestDroppedConnectionShortensTheIdleTime(t *testing.T) {
+	reset := fmt.Errorf("read answer: %w", syscall.ECONNRESET)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	cases := []struct {
+		name    string
+		ctx     context.Context
+		idle    time.Duration
+		err     error
+		took    time.Duration
+		dropped bool
+	}{
+		{"dropped", context.Background(), 3 * time.Second, reset, time.Millisecond, true},
+		{"closed", context.Background(), 3 * time.Second, io.ErrUnexpectedEOF, time.Millisecond, false},
+		{"a target that broke off", context.Background(), 3 * time.Second, reset, time.Second, false},
+		{"hardly idle", context.Background(), leastIdle / 2, reset, time.Millisecond, false},
+		{"the caller left", gone, 3 * time.Second, reset, time.Millisecond, false},
+	}
+	for _, c := range cases {
+		d := dialer()
+		d.noteKept(c.ctx, &line{used: true, idle: c.idle}, c.err, c.took)
+		require.Equal(t, c.dropped, d.kept.longest(true, time.Now()) < maxIdle, c.name)
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -238,6 +238,7 @@
 	return &exchange.Request{
 		Method: c.http.Method, URI: c.http.URL.RequestURI(), Host: c.http.Host,
 		Header: c.server.parts.Codec.Outgoing(c.http.Header, d), Body: c.body, Fresh: c.route.Repetition == catalog.Once,
+		Repeatable: d.ReadOnly || c.route.MayRepeat(),
 	}
 }
 
