Send a configuration packed and from one control instance

Ruled out: a late commit, a refused document. Change: documents from 4 KB on are compressed before they are committed; an instance gets them from one control instance, the others tell the version only, and one of them takes over after 0.25 s.

--- a/serve/callers.go
+++ b/serve/callers.go
@@ -35,7 +35,7 @@
 
 // Replace checks a configuration document and commits it.
 func (c *Control) Replace(ctx context.Context, document []byte) error {
-	_, version, err := decodeDocument(document)
+	_, version, err := decodeBody(document)
 	if err != nil {
 		c.logger.Log(event.DocumentRefused, zap.Uint64("version", version), zap.Error(err))
 		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	result, err := c.keeper.Propose(ctx, &peer.Command{Actor: c.settings.Instance, Body: &peer.Command_Replace{
-		Replace: &peer.ReplaceDocument{Version: version, Body: document},
+		Replace: packDocument(version, document),
 	}})
 	if err != nil {
 		return err
@@ -68,7 +68,7 @@
 	if document == nil {
 		return nil, errNoDocument
 	}
-	return document.Body, nil
+	return unpackDocument(document)
 }
 
 // Request is what this instance tells the control instances that it watches.
--- a/serve/control.go
+++ b/serve/control.go
@@ -181,7 +181,7 @@
 	if known := c.decoded.Load(); known != nil && known.Version() == document.Version {
 		return known
 	}
-	snapshot, _, err := decodeDocument(document.Body)
+	snapshot, _, err := decodeDocument(document)
 	if err != nil {
 		c.logger.Log(event.ConfigRefused, zap.Uint64("version", document.Version), zap.Error(err))
 		return nil
--- /dev/null
+++ b/serve/document_test.go
@@ -0,0 +1,37 @@
+package serve
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"auburnscale/peer"
+)
+
+// TestDocumentsTravelPacked packs a configuration of thousands of routes and
+// leaves a small one as it is. Either comes back byte for byte.
+func TestDocumentsTravelPacked(t *testing.T) {
+	var routes []string
+	for i := range 2000 {
+		routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"h%d.example","prefix":"/p%d/","kind":"safe","timeoutMs":900,"service":"desk","attempts":1}`, i, i%7, i))
+	}
+	large := []byte(`{"version":8,"routes":[` + strings.Join(routes, ",") + `],"services":[{"name":"desk"}]}`)
+	document := packDocument(8, large)
+	require.True(t, document.Packed)
+	require.Less(t, len(document.Body), len(large)/5)
+	body, err := unpackDocument(document)
+	require.NoError(t, err)
+	require.Equal(t, large, body)
+	snapshot, version, err := decodeDocument(document)
+	require.NoError(t, err)
+	require.EqualValues(t, 8, version)
+	require.Len(t, snapshot.Routes(), 2000)
+
+	small := []byte(`{"version":2}`)
+	require.Equal(t, &peer.ReplaceDocument{Version: 2, Body: small}, packDocument(2, small))
+
+	_, err = unpackDocument(&peer.ReplaceDocument{Version: 3, Packed: true, Body: []byte("torn")})
+	require.ErrorContains(t, err, "version 3")
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -199,7 +199,7 @@
 		told = append(told, retry.Suspicion{Fingerprint: each.Fingerprint, Crashes: int(each.Crashes)})
 	}
 	e.suspects.Tell(told)
-	if answer.Current && answer.Document == nil && e.version.Load() > 0 {
+	if held := e.version.Load(); answer.Current && held > 0 && answer.Version <= held {
 		e.current.Store(true)
 		// The answer was held for a while, but what it says was so at its end.
 		e.confirmed.Store(int64(clock.Now() - answerTravel))
@@ -248,7 +248,7 @@
 	if document.Version <= e.version.Load() {
 		return
 	}
-	snapshot, _, err := decodeDocument(document.Body)
+	snapshot, _, err := decodeDocument(document)
 	if err != nil {
 		e.logger.Log(event.ConfigRefused, zap.Uint64("version", document.Version), zap.Error(err))
 		return
--- a/watch/client.go
+++ b/watch/client.go
@@ -54,6 +54,7 @@
 	// the newest term.
 	members []*peer.Replica
 	term    uint64
+	source  source
 }
 
 type loop struct {
@@ -71,7 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		self: self, dialer: dialer, sink: sink, logger: logger, ctx: ctx, cancel: cancel,
-		loops: map[string]*loop{}, seeds: map[string]bool{}, named: map[string]bool{},
+		loops: map[string]*loop{}, seeds: map[string]bool{}, named: map[string]bool{}, source: source{wait: sourceWait},
 	}
 }
 
@@ -150,8 +151,8 @@
 func (l *loop) run() {
 	defer l.client.group.Done()
 	for l.client.ctx.Err() == nil {
-		wait := pause
-		if !l.ask() {
+		wait, ok := l.ask()
+		if !ok {
 			wait = retryPause
 			if l.client.giveUp(l) {
 				return
@@ -164,19 +165,22 @@
 	}
 }
 
-func (l *loop) ask() bool {
+// ask asks once, and returns the pause before the next question.
+func (l *loop) ask() (time.Duration, bool) {
 	request := l.client.sink.Request()
 	request.Server, request.Roster = l.server, l.roster
+	request.Spare, request.Version = l.client.role(l, request.Version)
 	ctx, cancel := context.WithTimeout(l.client.ctx, Hold+answerSlack)
 	defer cancel()
 	answer, err := l.client.dialer.Peer(l.address).Watch(ctx, request)
 	if err != nil {
 		l.fails++
+		l.client.resign(l)
 		if !l.lost && l.client.ctx.Err() == nil {
 			l.lost = true
 			l.client.logger.Log(event.ControlLost, zap.String("address", l.address), zap.Error(err))
 		}
-		return false
+		return 0, false
 	}
 	if l.lost {
 		l.client.logger.Log(event.ControlBack, zap.String("address", l.address), zap.Int("failures", l.fails))
@@ -187,5 +191,10 @@
 		l.server, l.roster = answer.Server, answer.Roster
 	}
 	l.client.learn(answer)
-	return true
+	l.client.take(answer.Document.GetVersion())
+	if answer.Version > request.Version && request.Spare {
+		l.client.tell(answer.Version)
+		return sourceWait, true
+	}
+	return pause, true
 }
--- a/watch/server.go
+++ b/watch/server.go
@@ -177,7 +177,9 @@
 	a.Rows, a.Roster = s.roster.Rows(since)
 	current := s.voter.MayAct()
 	s.voter.Read(func(m *control.Machine) {
-		if d := m.Document(); d.GetVersion() > request.Version {
+		d := m.Document()
+		a.Version = d.GetVersion()
+		if a.Version > request.Version && !request.Spare {
 			a.Document = d
 		}
 	})
