--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,7 +25,8 @@
 	program := filepath.Join(folder, "auburnscale")
 	out, err := exec.Command("go", "build", "-o", program, "auburnscale/cmd/auburnscale").CombinedOutput()
 	require.NoError(t, err, string(out))
-	for _, seed := range []uint64{0, 1, 2} {
+	seeds := append([]uint64{0, 1, 2}, slices.Sorted(maps.Keys(Regressions))...)
+	for _, seed := range seeds {
 		report, err := Run(context.Background(), Config{
 			Program: program, Folder: filepath.Join(folder, fmt.Sprint(seed)), Seed: seed, Controls: 3, Entries: 2, Span: 4 * time.Second, Patience: 20,
 		})
