Compare a sample of a large fleet's targets

Change: beyond 24 targets of a stage, two random runners of each failure domain are compared, and for reading the part's first three homes, its known holders and four random readers. What is too much for a home goes to the next one from every instance. Smaller fleets are compared as before.

--- a/route/plan.go
+++ b/route/plan.go
@@ -43,7 +43,7 @@
 }
 
 // A Placer represents the choice of targets over a whole fleet. It compares
-// every target, which suits fleets of some hundreds.
+// every target of a small fleet, and a sample of a large one.
 type Placer struct {
 	// HandOver is what moving a prompt's cache between targets costs.
 	HandOver time.Duration
@@ -51,6 +51,8 @@
 	Remote time.Duration
 	// Move is what it costs more to move a cache to another failure domain.
 	Move time.Duration
+	// Draw returns a random number below n; rand.IntN if it is nil.
+	Draw func(n int) int
 }
 
 const (
@@ -68,9 +70,6 @@
 	// The bounds of a rate that one odd reading cannot leave.
 	minReadRate = 2_000
 	maxReadRate = 2_000_000
-	// homeTrust is the part of a prompt that the target on which all instances
-	// agree is taken to hold, though this instance has not seen it there.
-	homeTrust = 0.8
 	// silentCost is what a target that nobody has heard lately costs.
 	silentCost = 400 * time.Millisecond
 	// crowdCost is what a full batch costs the requests in it.
@@ -92,10 +91,9 @@
 		return best
 	}
 	runners := p.lightest(f, avoid, now)
-	home := f.home(prompt, func(t *Target) bool { return !t.Runs() })
-	for _, t := range f.targets {
-		if !t.Runs() && t.takes(now) && !slices.Contains(avoid, t.name) {
-			best = sooner(best, p.handedOver(f, t, runners.beside(t, p.Move), prompt, t == home, now))
+	for _, c := range p.candidates(f, f.readers, prompt) {
+		if c.target.takes(now) && !slices.Contains(avoid, c.target.name) {
+			best = sooner(best, p.handedOver(f, c.target, runners.beside(c.target, p.Move), prompt, c.trust))
 		}
 	}
 	return best
@@ -103,11 +101,19 @@
 
 // Direct returns the target that does all of the request.
 func (p Placer) Direct(f *Fleet, prompt Prompt, avoid []string, now time.Time) Placement {
+	best := p.directAmong(p.candidates(f, f.runners, prompt), f, prompt, avoid, now)
+	if best.Runner == nil && len(f.runners) > compareAll {
+		// Nobody in the sample takes it now.
+		best = p.directAmong(everyone(f.runners), f, prompt, avoid, now)
+	}
+	return best
+}
+
+func (p Placer) directAmong(among []possible, f *Fleet, prompt Prompt, avoid []string, now time.Time) Placement {
 	best := Placement{}
-	home := f.home(prompt, func(t *Target) bool { return t.Runs() })
-	for _, t := range f.targets {
-		if t.Runs() && t.takes(now) && !slices.Contains(avoid, t.name) {
-			best = sooner(best, p.direct(f, t, prompt, t == home, now))
+	for _, c := range among {
+		if c.target.takes(now) && !slices.Contains(avoid, c.target.name) {
+			best = sooner(best, p.direct(f, c.target, prompt, c.trust, now))
 		}
 	}
 	return best
@@ -125,8 +131,8 @@
 	return a
 }
 
-func (p Placer) direct(f *Fleet, t *Target, prompt Prompt, home bool, now time.Time) Placement {
-	work := f.unread(t, prompt, home)
+func (p Placer) direct(f *Fleet, t *Target, prompt Prompt, trust float64, now time.Time) Placement {
+	work := f.unread(t, prompt, trust)
 	rate := f.rates.Mixed()
 	first := readTime(t.backlog()+work, rate) + p.presence(f, t, now)
 	cost := first + again(work, prompt, rate) + t.disturbance(readTime(work, rate), now)
@@ -148,8 +154,8 @@
 	return readTime(max(0, work-own), rate) * againWeight
 }
 
-func (p Placer) handedOver(f *Fleet, reader *Target, runner candidate, prompt Prompt, home bool, now time.Time) Placement {
-	work := f.unread(reader, prompt, home)
+func (p Placer) handedOver(f *Fleet, reader *Target, runner candidate, prompt Prompt, trust float64) Placement {
+	work := f.unread(reader, prompt, trust)
 	first := readTime(reader.backlog()+work, f.rates.Read()) + p.HandOver + runner.presence
 	if reader.domain != runner.target.domain {
 		first += p.Move
@@ -188,9 +194,18 @@
 }
 
 func (p Placer) lightest(f *Fleet, avoid []string, now time.Time) candidates {
+	all := p.lightestAmong(p.sampleRunners(f), f, avoid, now)
+	if all.best.target == nil {
+		// Nobody in the sample takes it now.
+		all = p.lightestAmong(f.runners, f, avoid, now)
+	}
+	return all
+}
+
+func (p Placer) lightestAmong(among []*Target, f *Fleet, avoid []string, now time.Time) candidates {
 	all := candidates{byDomain: map[string]candidate{}}
-	for _, t := range f.targets {
-		if !t.Runs() || !t.takes(now) || slices.Contains(avoid, t.name) {
+	for _, t := range among {
+		if !t.takes(now) || slices.Contains(avoid, t.name) {
 			continue
 		}
 		c := candidate{target: t, presence: p.presence(f, t, now)}
@@ -225,40 +240,20 @@
 	return time.Duration(float64(tokens) / rate * float64(time.Second))
 }
 
-// unread returns the tokens of the prompt that the target would still read.
-func (f *Fleet) unread(t *Target, prompt Prompt, home bool) int64 {
+// unread returns the tokens of the prompt that the target would still read. trust
+// is the part of the shared ones that it is taken to hold in any case.
+func (f *Fleet) unread(t *Target, prompt Prompt, trust float64) int64 {
 	depth := f.index.Depth(t, prompt.Pieces)
 	cached := int64(0)
 	if depth > 0 {
 		cached = prompt.Tokens[depth-1]
 	}
-	if n := len(prompt.Tokens); home && n > 0 {
-		cached = max(cached, int64(homeTrust*float64(prompt.Tokens[n-1])))
+	if n := len(prompt.Tokens); n > 0 {
+		cached = max(cached, int64(trust*float64(prompt.Tokens[n-1])))
 	}
 	return max(0, prompt.Total-cached)
 }
 
-// home returns the target of a kind that all instances agree on for the shared
-// part of a prompt (rendezvous hashing: few prompts move when a target comes or
-// goes).
-func (f *Fleet) home(prompt Prompt, of func(*Target) bool) *Target {
-	if len(prompt.Pieces) == 0 {
-		return nil
-	}
-	key := prompt.Pieces[len(prompt.Pieces)-1]
-	var best *Target
-	var most uint64
-	for _, t := range f.targets {
-		if !of(t) {
-			continue
-		}
-		if rank := mix(t.hash ^ key); best == nil || rank > most {
-			best, most = t, rank
-		}
-	}
-	return best
-}
-
 func hashName(name string) uint64 { return xxhash.Sum64String(name) }
 
 // mix spreads the bits of a number (the finalizer of splitmix64).
--- a/route/plan_test.go
+++ b/route/plan_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,6 +48,71 @@
 	}
 }
 
+// TestManyInstancesSpread places one request from each of sixty instances, none of
+// which knows of the others' yet. Load pattern: a burst over many entry instances,
+// whose exchange of work in flight takes longer than their requests take to come.
+func TestManyInstancesSpread(t *testing.T) {
+	const instances, runners = 60, 42
+	drawn := rand.New(rand.NewPCG(4, 2))
+	p := placer
+	p.Draw = drawn.IntN
+	got := map[string]int{}
+	for i := range uint64(instances) {
+		c := p.Place(staged(60, runners), prompt(i*7919, 13000, 17000), nil, time.Now())
+		require.NotNil(t, c.Reader)
+		got[c.Runner.Name()]++
+	}
+	for name, n := range got {
+		require.LessOrEqual(t, n, 8, "%s has far more than its part", name)
+	}
+	require.Greater(t, len(got), 10, "the own failure domain has 14 runners")
+}
+
+// TestOverflowHasAHomeToo places a hot shared part from many instances after its
+// home has more than it can do. Load pattern: one document that everyone reads.
+// What is too much goes to few others, so that the part is read there once.
+func TestOverflowHasAHomeToo(t *testing.T) {
+	drawn := rand.New(rand.NewPCG(4, 2))
+	p := placer
+	p.Draw = drawn.IntN
+	hot := prompt(77, 13000, 17000)
+	first := p.Place(staged(60, 42), hot, nil, time.Now()).Reader.Name()
+	got := map[string]int{}
+	for range 60 {
+		f := staged(60, 42)
+		for _, target := range f.targets {
+			if target.Name() == first {
+				target.SetOthers(400_000, 20)
+			}
+		}
+		got[p.Place(f, hot, nil, time.Now()).Reader.Name()]++
+	}
+	require.NotContains(t, got, first)
+	require.Len(t, got, 1, "%v", got)
+}
+
+// TestSampleThatIsAway has all but one target of a large fleet away.
+func TestSampleThatIsAway(t *testing.T) {
+	f := staged(0, 60)
+	for _, target := range f.targets[1:] {
+		target.SetAway(true)
+	}
+	require.Equal(t, "run0", placer.Place(f, Prompt{}, nil, time.Now()).Runner.Name())
+	require.Equal(t, "run0", placer.Direct(f, prompt(1, 100, 200), nil, time.Now()).Runner.Name())
+}
+
+// TestHomesAreInOrder checks the first homes against the only one.
+func TestHomesAreInOrder(t *testing.T) {
+	f := staged(60, 0)
+	for part := range uint64(50) {
+		homes := homesOf(f.readers, prompt(part*7919, 10, 20))
+		require.Len(t, homes, len(homeTrusts))
+		require.Equal(t, f.readers[homeOf(f.readers, prompt(part*7919, 10, 20))], homes[0])
+		without := slices.DeleteFunc(slices.Clone(f.readers), func(t *Target) bool { return t == homes[0] })
+		require.Equal(t, homes[1], homesOf(without, prompt(part*7919, 10, 20))[0])
+	}
+}
+
 // TestHotPartSpreads sends one hot shared part again and again. Its home is left
 // once others would answer sooner, and not before.
 func TestHotPartSpreads(t *testing.T) {
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -71,6 +71,17 @@
 	return x.old[piece]
 }
 
+// holders returns the targets thought to hold all the pieces. The caller must not
+// change the slice.
+func (x *PrefixIndex) holders(pieces []uint64) []*Target {
+	if len(pieces) == 0 {
+		return nil
+	}
+	x.mutex.RLock()
+	defer x.mutex.RUnlock()
+	return x.lookup(pieces[len(pieces)-1])
+}
+
 // Remove records that the target dropped the pieces.
 func (x *PrefixIndex) Remove(t *Target, pieces []uint64) {
 	x.mutex.Lock()
--- /dev/null
+++ b/route/sample.go
@@ -0,0 +1,129 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+const (
+	// compareAll is the number of targets of one stage up to which all are
+	// compared. Beyond it many instances, whose knowledge of each other's work is
+	// some tenths of a second old, would all send to the one that was lightest.
+	compareAll = 24
+	// sampled targets of each failure domain are compared by load in a large
+	// fleet: two random choices.
+	sampledRunners = 2
+	// sampledReaders are compared beside the homes of a prompt's shared part.
+	sampledReaders = 4
+)
+
+// homeTrusts are the parts of a prompt's shared tokens that its homes are taken
+// to hold, though this instance has not seen them there. The first home is the
+// one on which all instances agree; in a large fleet the others take what is too
+// much for it.
+var homeTrusts = []float64{0.8, 0.4, 0.2}
+
+// A possible represents a target that is compared, with what it is trusted to
+// hold.
+type possible struct {
+	target *Target
+	trust  float64
+}
+
+func everyone(targets []*Target) []possible {
+	list := make([]possible, len(targets))
+	for i, t := range targets {
+		list[i].target = t
+	}
+	return list
+}
+
+func (p Placer) draw(n int) int {
+	if p.Draw != nil {
+		return p.Draw(n)
+	}
+	return rand.IntN(n)
+}
+
+// candidates returns the targets of a stage that a prompt is compared on.
+func (p Placer) candidates(f *Fleet, targets []*Target, prompt Prompt) []possible {
+	if len(targets) <= compareAll {
+		list := everyone(targets)
+		if n := homeOf(targets, prompt); n >= 0 {
+			list[n].trust = homeTrusts[0]
+		}
+		return list
+	}
+	var list []possible
+	add := func(t *Target, trust float64) {
+		if !slices.ContainsFunc(list, func(c possible) bool { return c.target == t }) {
+			list = append(list, possible{t, trust})
+		}
+	}
+	for i, t := range homesOf(targets, prompt) {
+		add(t, homeTrusts[i])
+	}
+	for _, t := range f.index.holders(prompt.Pieces) {
+		// A holder may have left the fleet or its stage since.
+		if slices.Contains(targets, t) {
+			add(t, 0)
+		}
+	}
+	for range sampledReaders {
+		add(targets[p.draw(len(targets))], 0)
+	}
+	return list
+}
+
+// sampleRunners returns the runners that are compared by load.
+func (p Placer) sampleRunners(f *Fleet) []*Target {
+	if len(f.runners) <= compareAll {
+		return f.runners
+	}
+	var list []*Target
+	for _, domain := range f.runnersBy {
+		for range sampledRunners {
+			list = append(list, domain[p.draw(len(domain))])
+		}
+	}
+	return list
+}
+
+// homeOf returns the index of the target that all instances agree on for the
+// shared part of a prompt (rendezvous hashing: few prompts move when a target
+// comes or goes), or -1 if nothing is shared.
+func homeOf(targets []*Target, prompt Prompt) int {
+	if len(prompt.Pieces) == 0 {
+		return -1
+	}
+	key := prompt.Pieces[len(prompt.Pieces)-1]
+	best, most := -1, uint64(0)
+	for i, t := range targets {
+		if rank := mix(t.hash ^ key); best < 0 || rank > most {
+			best, most = i, rank
+		}
+	}
+	return best
+}
+
+// homesOf returns the first targets in the order of homeOf.
+func homesOf(targets []*Target, prompt Prompt) []*Target {
+	if len(prompt.Pieces) == 0 {
+		return nil
+	}
+	key := prompt.Pieces[len(prompt.Pieces)-1]
+	homes := make([]*Target, 0, len(homeTrusts)+1)
+	ranks := make([]uint64, 0, len(homeTrusts)+1)
+	for _, t := range targets {
+		rank := mix(t.hash ^ key)
+		at := 0
+		for at < len(ranks) && ranks[at] >= rank {
+			at++
+		}
+		if at < len(homeTrusts) {
+			homes, ranks = slices.Insert(homes, at, t), slices.Insert(ranks, at, rank)
+			homes, ranks = homes[:min(len(homes), len(homeTrusts))], ranks[:min(len(ranks), len(homeTrusts))]
+		}
+	}
+	return homes
+}
--- a/route/target.go
+++ b/route/target.go
@@ -14,6 +14,8 @@
 package route
 
 import (
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -310,8 +312,13 @@
 	domain  string
 	local   []*Target
 	remote  []*Target
-	index   *PrefixIndex
-	rates   *Rates
+	// readers and runners are the targets by stage, runnersBy the latter by
+	// failure domain.
+	readers   []*Target
+	runners   []*Target
+	runnersBy [][]*Target
+	index     *PrefixIndex
+	rates     *Rates
 }
 
 // NewFleet returns the fleet of the targets as seen from a failure domain.
@@ -324,9 +331,25 @@
 			f.remote = append(f.remote, t)
 		}
 	}
+	f.sortByStage()
 	return f
 }
 
+func (f *Fleet) sortByStage() {
+	byDomain := map[string][]*Target{}
+	for _, t := range f.targets {
+		if t.Runs() {
+			f.runners = append(f.runners, t)
+			byDomain[t.domain] = append(byDomain[t.domain], t)
+		} else {
+			f.readers = append(f.readers, t)
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		f.runnersBy = append(f.runnersBy, byDomain[domain])
+	}
+}
+
 // WithRates returns the fleet with rates that outlive it.
 func (f *Fleet) WithRates(rates *Rates) *Fleet {
 	f.rates = rates
