Leave a failure domain alone that answers no connection

Change: two targets of another domain that answer no connection within a second, with no answer from the domain in between, have all of it rest for 0.8 s; one more try that is not answered doubles that, up to 2 s. A refused connection is no sign.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -58,6 +58,13 @@
 	return errors.As(err, &failed) && !failed.sent
 }
 
+// Unanswered reports whether err is a connection that nobody answered, neither
+// by taking nor by refusing it.
+func Unanswered(err error) bool {
+	var timeout net.Error
+	return NotSent(err) && errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // Errors that an exchange can fail with, besides those of the network.
 var (
 	ErrCrossed = errors.New("the answer names another request")
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,3 +102,13 @@
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.False(t, NotSent(err))
 }
+
+// TestUnanswered tells a connection that nobody answers from one that is refused
+// and from an exchange that has begun.
+func TestUnanswered(t *testing.T) {
+	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	require.True(t, Unanswered(&Error{err: fmt.Errorf("connect to x: %w", timeout)}))
+	require.False(t, Unanswered(&Error{sent: true, err: timeout}))
+	require.False(t, Unanswered(&Error{err: syscall.ECONNREFUSED}))
+	require.False(t, Unanswered(nil))
+}
--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -17,6 +17,7 @@
 	domain  string
 	placer  route.Placer
 	sharers atomic.Int64
+	reach   *reach
 
 	mutex    sync.Mutex
 	targets  map[string]*known
@@ -44,7 +45,7 @@
 
 // NewFleets returns fleets without targets, seen from the failure domain.
 func NewFleets(domain string, placer route.Placer) *Fleets {
-	f := &Fleets{domain: domain, placer: placer, targets: map[string]*known{}, services: map[string]*fleetState{}}
+	f := &Fleets{domain: domain, placer: placer, reach: newReach(), targets: map[string]*known{}, services: map[string]*fleetState{}}
 	f.fleets.Store(&map[string]*route.Fleet{})
 	f.sharers.Store(1)
 	return f
@@ -166,6 +167,28 @@
 	state.breaker.Failure(t.Name(), state.total, time.Now())
 }
 
+// Unanswered notes that the target did not answer a connection. Its failure
+// domain is left alone for a while if it seems to be cut off.
+func (f *Fleets) Unanswered(t *route.Target, now time.Time) {
+	if t.FailureDomain() == f.domain {
+		return
+	}
+	dark := f.reach.unanswered(t.FailureDomain(), t.Name(), now)
+	if dark == 0 {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, k := range f.targets {
+		if k.target.FailureDomain() == t.FailureDomain() {
+			k.target.RestUntil(now.Add(dark))
+		}
+	}
+}
+
+// Answered notes that the target answered.
+func (f *Fleets) Answered(t *route.Target) { f.reach.answered(t.FailureDomain()) }
+
 // Holds notes that the target has read the pieces of a prompt.
 func (f *Fleets) Holds(service string, t *route.Target, pieces []uint64) {
 	f.mutex.Lock()
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -82,6 +82,9 @@
 	if exchange.NotSent(err) {
 		t.Decline(time.Now())
 	}
+	if exchange.Unanswered(err) {
+		c.server.parts.Fleets.Unanswered(t, time.Now())
+	}
 	c.server.parts.Fleets.Failed(c.service.Name, t, false)
 	c.server.logBroken(c, t, err)
 }
@@ -89,6 +92,7 @@
 // note takes what the answer says of the target.
 func (c *call) note(t *route.Target, reply *exchange.Reply) Reply {
 	said := c.server.parts.Codec.Reply(reply.Status(), reply.Header())
+	c.server.parts.Fleets.Answered(t)
 	if said.HasLoad {
 		t.SetReport(route.Load{Running: said.Load.Running, Waiting: said.Load.Waiting}, time.Now())
 	}
--- a/route/target.go
+++ b/route/target.go
@@ -136,6 +136,16 @@
 	t.awayUntil.Store(now.Add(rest).UnixNano())
 }
 
+// RestUntil leaves the target alone until the time, or longer if it rests longer.
+func (t *Target) RestUntil(until time.Time) {
+	for {
+		known := t.awayUntil.Load()
+		if known >= until.UnixNano() || t.awayUntil.CompareAndSwap(known, until.UnixNano()) {
+			return
+		}
+	}
+}
+
 // Took notes that the target took a request.
 func (t *Target) Took() { t.declines.Store(0) }
 
