Ask another reader after a rejection only if the retry budget bears it

Cause (found in reading): a read that a target rejects counts as an arrival beyond the request's first. Since three readers may be asked, engines that shed could bring three such arrivals a request, and none of them asked the budget. Change: each rejected read asks the budget; if it is used up, the runner reads the prompt. Test that fails on the former code: TestRejectedReadsKeepToTheBudget.

--- a/exchange/kept.go
+++ b/exchange/kept.go
@@ -29,7 +29,7 @@
 	trustAfter = 10
 	// doubtTime is how long a connection that was found dropped shortens the
 	// idle time of all.
-	doubtTime = time.Minute
+	doubtTime = 20 * time.Second
 )
 
 // A line represents an open connection to a target.
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -98,6 +98,11 @@
 }
 
 func newBed(t *testing.T, targets int) *bed {
+	return newBedWith(t, targets, retry.NewShare(1, 100, time.Minute))
+}
+
+// newBedWith returns a bed with the retry budget.
+func newBedWith(t *testing.T, targets int, budget *retry.Share) *bed {
 	snapshot, findings := catalog.New(configuration())
 	require.NoError(t, findings.Err())
 	b := &bed{t: t, sources: &sources{snapshot: snapshot}, begun: &begun{map[string]int{}}, roster: roster.New(clock.Now, time.Hour)}
@@ -111,7 +116,7 @@
 	}
 	b.server = gateway.New(gateway.Config{Requests: free(t), Readiness: free(t), Notice: 10 * time.Millisecond, Grace: waitLimit}, gateway.Parts{
 		Sources: b.sources, Codec: platform.Headers{}, Dialer: exchange.NewDialer(netip.MustParseAddr("127.0.0.1")), Fleets: b.fleets,
-		Budget: retry.NewShare(1, 100, time.Minute), Suspects: retry.NewSuspects(), Begun: b.begun, Metrics: tally.NoopScope, Logger: event.Nop(),
+		Budget: budget, Suspects: retry.NewSuspects(), Begun: b.begun, Metrics: tally.NoopScope, Logger: event.Nop(),
 	})
 	require.NoError(t, b.server.Listen())
 	b.address = b.server.Address()
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -20,6 +20,16 @@
 	return c.server.parts.Fleets.Placer().Direct(fleet, route.Prompt{}, c.avoid, time.Now()).Runner
 }
 
+// rejected counts a read that was rejected as an arrival; what follows is the
+// request's first. Another reader is asked only if the budget bears it.
+func (c *call) rejected() {
+	if c.readers < maxReaders && c.server.parts.Budget.Spend(c.service.Name, clock.Now()) {
+		return
+	}
+	c.server.parts.Budget.Note(c.service.Name, clock.Now())
+	c.reread = true
+}
+
 // readElsewhere lets the placement's reader read the prompt. It returns no
 // source if that failed; a prompt that is read twice costs time only.
 func (c *call) readElsewhere(p route.Placement) string {
@@ -53,9 +63,7 @@
 		c.server.parts.Fleets.Failed(c.service.Name, t, said.Other)
 		t.Decline(time.Now())
 		c.avoid = append(c.avoid, t.Name())
-		// The read was rejected and counts as an arrival; the one that follows is
-		// the request's first.
-		c.server.parts.Budget.Note(c.service.Name, clock.Now())
+		c.rejected()
 		return ""
 	}
 	body, err := reply.ReadAll(maxHandleBytes)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -15,6 +15,7 @@
 
 	"auburnscale/peer"
 	"auburnscale/platform/standin"
+	"auburnscale/retry"
 )
 
 func TestStreamIsWhole(t *testing.T) {
@@ -124,6 +125,22 @@
 	require.NotEmpty(t, b.targets[2].Seen()[0].Source)
 }
 
+// TestRejectedReadsKeepToTheBudget has two readers decline while the retry budget
+// is used up. Only one is asked, and the runner reads the prompt itself. Load
+// pattern: engines that shed most of what they get, under clients that repeat.
+func TestRejectedReadsKeepToTheBudget(t *testing.T) {
+	b := newBedWith(t, 3, retry.NewShare(0, 0, time.Minute))
+	b.announce(0, peer.TargetRow_PREFILL)
+	b.announce(1, peer.TargetRow_PREFILL)
+	b.announce(2, peer.TargetRow_DECODE)
+	b.targets[0].Script(standin.Refuse)
+	b.targets[1].Script(standin.Refuse)
+	a, _ := b.send(http.MethodPost, "/streams/1", "X-Model", "m", "X-Token-Count", "50000,10", "X-Prefix-Hash", "a1:40000,b2:10000")
+	require.Equal(t, threeEvents, a.body)
+	require.Len(t, append(b.targets[0].Seen(), b.targets[1].Seen()...), 1)
+	require.Empty(t, b.targets[2].Seen()[0].Source)
+}
+
 // TestRunnerThatLeavesWhileThePromptIsRead has the chosen runner say that it
 // leaves. The request goes to another one.
 func TestRunnerThatLeavesWhileThePromptIsRead(t *testing.T) {
--- a/watch/sharer.go
+++ b/watch/sharer.go
@@ -16,7 +16,7 @@
 	shareInterval = 80 * time.Millisecond
 	// sharePerEntry keeps the load of the control instance that adds up bounded
 	// in a large fleet.
-	sharePerEntry = 8 * time.Millisecond
+	sharePerEntry = 4 * time.Millisecond
 	shareTimeout  = 300 * time.Millisecond
 	// shareRest is how long a control instance that did not answer is left for
 	// the next one.
@@ -72,11 +72,17 @@
 		select {
 		case <-s.stop:
 			return
-		case <-time.After(max(shareInterval, time.Duration(s.work.Entries())*sharePerEntry)):
+		case <-time.After(sharePause(s.work.Entries())):
 		}
 	}
 }
 
+// sharePause returns the time between two exchanges of a fleet with so many entry
+// instances.
+func sharePause(entries int) time.Duration {
+	return max(shareInterval, time.Duration(entries)*sharePerEntry)
+}
+
 func (s *Sharer) exchange() {
 	address := s.choose(clock.Now())
 	if address == "" {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -180,3 +180,15 @@
 	require.NotContains(t, c.Addresses(), "self:1")
 	require.Len(t, c.Named(), 3)
 }
+
+// TestExchangesSlowDownWithTheFleet bounds what the control instance that adds up
+// answers. Load pattern: bursts over many entry instances, which place prompts by
+// what the others had in flight at the last exchange.
+func TestExchangesSlowDownWithTheFleet(t *testing.T) {
+	const most = 250
+	require.Equal(t, 80*time.Millisecond, sharePause(9))
+	for _, entries := range []int{1, 9, 60, 350} {
+		require.LessOrEqual(t, time.Duration(entries)*time.Second, most*sharePause(entries), "%d entries", entries)
+	}
+	require.LessOrEqual(t, sharePause(60), 250*time.Millisecond)
+}
