Log the beliefs that came with domains at rest, ejections, quiet times and sources

Cause: an entry that takes a failure domain for cut off, ejects a target, shortens the idle time of connections or changes where configurations come from decided so without a line, and so did a voter whose quiet time ended early. Change: events 210, 310, 408, 409, 410 and 516 with what decided them.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -25,6 +25,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -76,6 +77,8 @@
 type Dialer struct {
 	net  *net.Dialer
 	kept kept
+	// dropped, if not nil, is told of idle connections that targets dropped.
+	dropped func(address string, idle, limit time.Duration)
 }
 
 // NewDialer returns a dialer whose connections come from the local IP number.
@@ -83,6 +86,11 @@
 	return &Dialer{net: bind.Dialer(local)}
 }
 
+// OnDropped has f called when a connection that was idle for a time turns out to
+// be dropped by its target, with the idle time that is used for a while. It must
+// be set before the first exchange.
+func (d *Dialer) OnDropped(f func(address string, idle, limit time.Duration)) { d.dropped = f }
+
 // An Answer represents an answer whose body is still being read.
 type Answer struct {
 	connection net.Conn
--- a/exchange/kept.go
+++ b/exchange/kept.go
@@ -98,8 +98,9 @@
 }
 
 // dropped notes that a kept connection turned out to be gone. Others that were
-// idle for as long are not used for a while.
-func (k *kept) dropped(idle time.Duration, now time.Time) {
+// idle for as long are not used for a while. It returns the longest idle time
+// until then.
+func (k *kept) dropped(idle time.Duration, now time.Time) time.Duration {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	limit := max(leastIdle, idle/2)
@@ -107,6 +108,7 @@
 		limit = min(limit, k.limit)
 	}
 	k.held, k.limit, k.doubtEnds = 0, limit, now.Add(doubtTime)
+	return limit
 }
 
 // pop returns the newest connection, if it has been idle since the time or less.
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -85,7 +85,7 @@
 	sent := time.Now()
 	err = p.exchange(r)
 	if l.used {
-		d.noteKept(ctx, l, err, time.Since(sent))
+		d.noteKept(ctx, address, l, err, time.Since(sent))
 	}
 	if err != nil {
 		p.Close()
@@ -102,12 +102,15 @@
 const dropShows = 25 * time.Millisecond
 
 // noteKept notes how an exchange over a kept connection went.
-func (d *Dialer) noteKept(ctx context.Context, l *line, err error, took time.Duration) {
+func (d *Dialer) noteKept(ctx context.Context, address string, l *line, err error, took time.Duration) {
 	switch {
 	case err == nil:
 		d.kept.worked(l.idle)
 	case ctx.Err() == nil && took < dropShows && l.idle > leastIdle && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)):
-		d.kept.dropped(l.idle, time.Now())
+		limit := d.kept.dropped(l.idle, time.Now())
+		if d.dropped != nil {
+			d.dropped(address, l.idle, limit)
+		}
 	}
 }
 
--- a/exchange/plain_test.go
+++ b/exchange/plain_test.go
@@ -262,7 +262,10 @@
 	}
 	for _, c := range cases {
 		d := dialer()
-		d.noteKept(c.ctx, &line{used: true, idle: c.idle}, c.err, c.took)
+		told := 0
+		d.OnDropped(func(string, time.Duration, time.Duration) { told++ })
+		d.noteKept(c.ctx, "a:1", &line{used: true, idle: c.idle}, c.err, c.took)
 		require.Equal(t, c.dropped, d.kept.longest(true, time.Now()) < maxIdle, c.name)
+		require.Equal(t, c.dropped, told == 1, c.name)
 	}
 }
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -106,7 +106,7 @@
 	snapshot, findings := catalog.New(configuration())
 	require.NoError(t, findings.Err())
 	b := &bed{t: t, sources: &sources{snapshot: snapshot}, begun: &begun{map[string]int{}}, roster: roster.New(clock.Now, time.Hour)}
-	b.fleets = gateway.NewFleets("d0", route.Placer{})
+	b.fleets = gateway.NewFleets("d0", route.Placer{}, event.Nop())
 	for i := range targets {
 		target := standin.NewTarget(fmt.Sprint("e", i))
 		require.NoError(t, target.Listen("127.0.0.1:0"))
--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -5,6 +5,9 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
+	"auburnscale/event"
 	"auburnscale/peer"
 	"auburnscale/retry"
 	"auburnscale/roster"
@@ -18,6 +21,7 @@
 	placer  route.Placer
 	sharers atomic.Int64
 	reach   *reach
+	logger  *event.Logger
 
 	mutex    sync.Mutex
 	targets  map[string]*known
@@ -44,8 +48,8 @@
 const piecesPerService = 20_000
 
 // NewFleets returns fleets without targets, seen from the failure domain.
-func NewFleets(domain string, placer route.Placer) *Fleets {
-	f := &Fleets{domain: domain, placer: placer, reach: newReach(), targets: map[string]*known{}, services: map[string]*fleetState{}}
+func NewFleets(domain string, placer route.Placer, logger *event.Logger) *Fleets {
+	f := &Fleets{domain: domain, placer: placer, logger: logger, reach: newReach(), targets: map[string]*known{}, services: map[string]*fleetState{}}
 	f.fleets.Store(&map[string]*route.Fleet{})
 	f.sharers.Store(1)
 	return f
@@ -164,7 +168,9 @@
 		k.wrong = true
 		return
 	}
-	state.breaker.Failure(t.Name(), state.total, time.Now())
+	if state.breaker.Failure(t.Name(), state.total, time.Now()) {
+		f.logger.Log(event.TargetEjected, zap.String("target", t.Name()), zap.String("service", service), zap.Int("targets", state.total))
+	}
 }
 
 // Unanswered notes that the target did not answer a connection. Its failure
@@ -177,6 +183,7 @@
 	if dark == 0 {
 		return
 	}
+	f.logger.Log(event.DomainSilent, zap.String("failure_domain", t.FailureDomain()), zap.String("target", t.Name()), zap.Int64("rest_ms", dark.Milliseconds()))
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, k := range f.targets {
@@ -187,7 +194,11 @@
 }
 
 // Answered notes that the target answered.
-func (f *Fleets) Answered(t *route.Target) { f.reach.answered(t.FailureDomain()) }
+func (f *Fleets) Answered(t *route.Target) {
+	if f.reach.answered(t.FailureDomain()) {
+		f.logger.Log(event.DomainBack, zap.String("failure_domain", t.FailureDomain()), zap.String("target", t.Name()))
+	}
+}
 
 // Holds notes that the target has read the pieces of a prompt.
 func (f *Fleets) Holds(service string, t *route.Target, pieces []uint64) {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -64,11 +64,14 @@
 	return d.dark
 }
 
-// answered notes that a target of the domain did answer.
-func (r *reach) answered(domain string) {
+// answered notes that a target of the domain did answer. It returns true if the
+// domain was taken for cut off.
+func (r *reach) answered(domain string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	d := r.domain(domain)
+	was := d.dark > 0
 	d.dark = 0
 	clear(d.silent)
+	return was
 }
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"auburnscale/event"
 	"auburnscale/peer"
 	"auburnscale/roster"
 	"auburnscale/route"
@@ -23,7 +24,8 @@
 	require.Equal(t, firstDark, r.unanswered("d1", "b", now.Add(200*time.Millisecond)))
 	require.Equal(t, 2*firstDark, r.unanswered("d1", "a", now.Add(time.Second)), "one try is enough to see that it goes on")
 	require.Equal(t, longestDark, r.unanswered("d1", "b", now.Add(2*time.Second)))
-	r.answered("d1")
+	require.True(t, r.answered("d1"))
+	require.False(t, r.answered("d1"))
 	require.Zero(t, r.unanswered("d1", "c", now.Add(3*time.Second)))
 }
 
@@ -39,7 +41,7 @@
 // TestOwnDomainIsNeverCutOff has two targets beside the instance fall silent, and
 // two of another domain.
 func TestOwnDomainIsNeverCutOff(t *testing.T) {
-	f := NewFleets("d0", route.Placer{})
+	f := NewFleets("d0", route.Placer{}, event.Nop())
 	r := roster.New(func() time.Duration { return time.Minute }, time.Hour)
 	for i, domain := range []string{"d0", "d0", "d0", "d1", "d1", "d1"} {
 		name := string(rune('a' + i))
--- a/quorum/resume.go
+++ b/quorum/resume.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// QuietEnded reports whether the quiet time after the start ended early.
+func (n *Node) QuietEnded() bool { return n.resume.ended }
+
 // allResumed reports whether every voter has restarted since the promise that
 // this voter may have given. A leader that leaves the voters leads until its
 // leaving is committed, so that those count that were voters in that term.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -104,8 +104,8 @@
 }
 
 // Failure counts a failure of one of total targets and ejects it if it is one
-// too many and the share allows.
-func (b *Breaker) Failure(target string, total int, now time.Time) {
+// too many and the share allows. It returns true if it did.
+func (b *Breaker) Failure(target string, total int, now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	h := b.targets[target]
@@ -115,11 +115,12 @@
 	}
 	h.failures++
 	if h.failures < openAfter || now.Before(h.until) || b.ejectedLocked(now)+1 > int(maxEjected*float64(total)) {
-		return
+		return false
 	}
 	h.until = now.Add(min(maxEjection, firstEjection<<min(h.ejections, 5)))
 	h.ejections++
 	h.failures = openAfter - 1
+	return true
 }
 
 // Ejected reports whether the target is left alone at the time.
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -86,7 +86,7 @@
 	e := &Entry{
 		settings: s, logger: logger, incarnation: newIncarnation(), outgoing: out, started: clock.Now(),
 		roster:   roster.New(clock.Now, silentHeartbeats*f.Announce.Span()),
-		fleets:   gateway.NewFleets(s.FailureDomain, route.Placer{HandOver: handOverCost, Remote: remoteCost, Move: moveCost}),
+		fleets:   gateway.NewFleets(s.FailureDomain, route.Placer{HandOver: handOverCost, Remote: remoteCost, Move: moveCost}, logger),
 		budget:   retry.NewShare(f.RetryRatio, f.RetrySlack, f.RetryWindow.Span()),
 		suspects: retry.NewSuspects(), begun: usage.NewBegun(f.UsageWindow.Span()),
 		taking: make(chan *peer.ReplaceDocument, 16), failed: make(chan error, 4), stopped: make(chan struct{}),
@@ -96,6 +96,7 @@
 	if e.scraped, err = serveMetrics(f.Metrics, scrape, logger); err != nil {
 		return nil, err
 	}
+	out.dialer.OnDropped(e.logDropped)
 	e.watcher = watch.NewClient("", out.client, e, logger)
 	e.sharer = watch.NewSharer(e.incarnation, e.watcher.Addresses, out.client, e.fleets)
 	e.gateway = gateway.New(gateway.Config{
@@ -131,6 +132,11 @@
 	return nil
 }
 
+// logDropped logs that a target had dropped an idle connection.
+func (e *Entry) logDropped(address string, idle, limit time.Duration) {
+	e.logger.Log(event.IdleTimeCut, zap.String("address", address), zap.Int64("idle_ms", idle.Milliseconds()), zap.Int64("limit_ms", limit.Milliseconds()))
+}
+
 func (e *Entry) runGateway()   { e.report(e.gateway.Serve()) }
 func (e *Entry) runReadiness() { e.report(e.gateway.ServeReadiness()) }
 
--- a/voter/run.go
+++ b/voter/run.go
@@ -103,6 +103,10 @@
 // noticeRole opens a leader's term with an entry of its own, which also commits
 // what earlier leaders left behind.
 func (v *Voter) noticeRole() {
+	if v.node.QuietEnded() && !v.quietEnded {
+		v.quietEnded = true
+		v.log(event.QuietEnded, zap.Uint64("term", v.node.Term()))
+	}
 	leading := v.node.Role() == quorum.Leader
 	if leading && (!v.leading || v.startTerm != v.node.Term()) {
 		v.since = clock.Now()
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -144,9 +144,11 @@
 	appliedTerm uint64
 	compacted   uint64
 	leading     bool
-	since       time.Duration
-	startTerm   uint64
-	broken      bool
+	// quietEnded is true once the early end of the quiet time was logged.
+	quietEnded bool
+	since      time.Duration
+	startTerm  uint64
+	broken     bool
 
 	mutex   sync.RWMutex
 	machine *control.Machine
--- a/watch/source.go
+++ b/watch/source.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"auburnscale/clock"
+	"auburnscale/event"
 )
 
 // sourceWait is how long the instance that documents come from may take with one
@@ -43,6 +46,7 @@
 	held = max(held, c.source.got)
 	if now := clock.Now(); c.source.due(held, now) {
 		c.source.loop, c.source.since = l, now
+		c.logger.Log(event.DocumentSource, zap.String("address", l.address), zap.Uint64("held", held), zap.Uint64("told", c.source.told))
 	}
 	if c.source.loop == l {
 		return false, held
