Try targets that may be cut off where there are no others

Cause (found in reading): a service whose targets are all in domains that an entry takes for cut off was refused for up to two seconds, also if the cause was two crashed targets of one domain. And an answer of a former control instance, which names no version, could pass for one without news. Change: a domain at rest is apart from a target's own rest; if nobody else takes the request, its targets are tried. A document counts as news by its own version too.

--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -188,7 +188,7 @@
 	defer f.mutex.Unlock()
 	for _, k := range f.targets {
 		if k.target.FailureDomain() == t.FailureDomain() {
-			k.target.RestUntil(now.Add(dark))
+			k.target.SetDark(now.Add(dark))
 		}
 	}
 }
--- a/route/plan_test.go
+++ b/route/plan_test.go
@@ -235,3 +235,24 @@
 	require.Equal(t, near.Reader, far.Reader)
 	require.NotEqual(t, near.Runner, far.Runner)
 }
+
+// TestCutOffTargetsAreTheLastResort has the whole fleet of a service in domains
+// that seem to be cut off. Load pattern: a service with fewer targets than failure
+// domains, one of them cut off.
+func TestCutOffTargetsAreTheLastResort(t *testing.T) {
+	f := staged(0, 3)
+	now := time.Now()
+	for _, target := range f.targets {
+		target.SetDark(now.Add(time.Second))
+	}
+	require.NotNil(t, placer.Place(f, Prompt{}, nil, now).Runner, "better than no answer")
+	beside := staged(1, 1)
+	beside.runners[0].SetDark(now.Add(time.Second))
+	last := placer.Place(beside, prompt(1, 13000, 17000), nil, now)
+	require.Equal(t, "run0", last.Runner.Name())
+	require.Nil(t, last.Reader, "a cache would have nowhere to go")
+	f.targets[2].SetDark(now)
+	require.Equal(t, "run2", placer.Place(f, Prompt{}, nil, now).Runner.Name())
+	f.targets[2].Decline(now)
+	require.NotEqual(t, "run2", placer.Place(f, Prompt{}, nil, now).Runner.Name(), "one that declined has said so itself")
+}
--- a/route/target.go
+++ b/route/target.go
@@ -37,6 +37,8 @@
 	// awayUntil is when the target takes requests again, in nanoseconds since
 	// 1970; away is true while it is known to change its stage.
 	awayUntil atomic.Int64
+	// darkUntil is until when the target's failure domain is left alone.
+	darkUntil atomic.Int64
 	declines  atomic.Int64
 	away      atomic.Bool
 	// othersWork and othersRequests are what other instances have in flight.
@@ -136,15 +138,9 @@
 	t.awayUntil.Store(now.Add(rest).UnixNano())
 }
 
-// RestUntil leaves the target alone until the time, or longer if it rests longer.
-func (t *Target) RestUntil(until time.Time) {
-	for {
-		known := t.awayUntil.Load()
-		if known >= until.UnixNano() || t.awayUntil.CompareAndSwap(known, until.UnixNano()) {
-			return
-		}
-	}
-}
+// SetDark leaves the target alone until the time, since its failure domain seems
+// to be cut off. It is still tried if there is no other.
+func (t *Target) SetDark(until time.Time) { t.darkUntil.Store(until.UnixNano()) }
 
 // Took notes that the target took a request.
 func (t *Target) Took() { t.declines.Store(0) }
@@ -159,6 +155,11 @@
 
 // takes reports whether the target can be expected to take a request.
 func (t *Target) takes(now time.Time) bool {
+	return t.mayTake(now) && now.UnixNano() >= t.darkUntil.Load()
+}
+
+// mayTake is takes for a target that may be cut off.
+func (t *Target) mayTake(now time.Time) bool {
 	return !t.away.Load() && now.UnixNano() >= t.awayUntil.Load()
 }
 
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -205,7 +205,8 @@
 		told = append(told, retry.Suspicion{Fingerprint: each.Fingerprint, Crashes: int(each.Crashes)})
 	}
 	e.suspects.Tell(told)
-	if held := e.version.Load(); answer.Current && held > 0 && answer.Version <= held {
+	newest := max(answer.Version, answer.Document.GetVersion())
+	if held := e.version.Load(); answer.Current && held > 0 && newest <= held {
 		e.current.Store(true)
 		// The answer was held for a while, but what it says was so at its end.
 		e.confirmed.Store(int64(clock.Now() - answerTravel))
