--- a/route/plan.go
+++ b/route/plan.go
@@ -95,7 +95,7 @@
 		// Only targets that may be cut off are left.
 		return best
 	}
-	for _, c := range p.candidates(f, f.readers, prompt) {
+	for _, c := range p.contenders(f, f.readers, prompt) {
 		if c.target.takes(now) && !slices.Contains(avoid, c.target.name) {
 			best = sooner(best, p.handedOver(f, c.target, runners.beside(c.target, p.Move), prompt, c.trust))
 		}
@@ -105,7 +105,7 @@
 
 // Direct returns the target that does all of the request.
 func (p Placer) Direct(f *Fleet, prompt Prompt, avoid []string, now time.Time) Placement {
-	best := p.directAmong(p.candidates(f, f.runners, prompt), f, prompt, avoid, (*Target).takes, now)
+	best := p.directAmong(p.contenders(f, f.runners, prompt), f, prompt, avoid, (*Target).takes, now)
 	if best.Runner == nil && len(f.runners) > compareAll {
 		// Nobody in the sample takes it now.
 		best = p.directAmong(everyone(f.runners), f, prompt, avoid, (*Target).takes, now)
@@ -117,7 +117,7 @@
 	return best
 }
 
-func (p Placer) directAmong(among []possible, f *Fleet, prompt Prompt, avoid []string, takes func(*Target, time.Time) bool, now time.Time) Placement {
+func (p Placer) directAmong(among []contender, f *Fleet, prompt Prompt, avoid []string, takes func(*Target, time.Time) bool, now time.Time) Placement {
 	best := Placement{}
 	for _, c := range among {
 		if takes(c.target, now) && !slices.Contains(avoid, c.target.name) {
--- a/route/sample.go
+++ b/route/sample.go
@@ -10,11 +10,12 @@
 	// compared. Beyond it many instances, whose knowledge of each other's work is
 	// some tenths of a second old, would all send to the one that was lightest.
 	compareAll = 24
-	// sampled targets of each failure domain are compared by load in a large
-	// fleet: two random choices.
+	// sampledRunners of each failure domain are compared by load in a large fleet:
+	// two random choices.
 	sampledRunners = 2
-	// sampledReaders are compared beside the homes of a prompt's shared part.
-	sampledReaders = 4
+	// sampledBeside random targets are compared beside the homes and the holders of
+	// a prompt's shared part.
+	sampledBeside = 4
 )
 
 // homeTrusts are the parts of a prompt's shared tokens that its homes are taken
@@ -23,15 +24,15 @@
 // much for it.
 var homeTrusts = []float64{0.8, 0.4, 0.2}
 
-// A possible represents a target that is compared, with what it is trusted to
-// hold.
-type possible struct {
+// A contender represents a target that a prompt is compared on, with the part of
+// the shared tokens that it is trusted to hold.
+type contender struct {
 	target *Target
 	trust  float64
 }
 
-func everyone(targets []*Target) []possible {
-	list := make([]possible, len(targets))
+func everyone(targets []*Target) []contender {
+	list := make([]contender, len(targets))
 	for i, t := range targets {
 		list[i].target = t
 	}
@@ -45,8 +46,8 @@
 	return rand.IntN(n)
 }
 
-// candidates returns the targets of a stage that a prompt is compared on.
-func (p Placer) candidates(f *Fleet, targets []*Target, prompt Prompt) []possible {
+// contenders returns the targets of a stage that a prompt is compared on.
+func (p Placer) contenders(f *Fleet, targets []*Target, prompt Prompt) []contender {
 	if len(targets) <= compareAll {
 		list := everyone(targets)
 		if n := homeOf(targets, prompt); n >= 0 {
@@ -54,10 +55,10 @@
 		}
 		return list
 	}
-	var list []possible
+	var list []contender
 	add := func(t *Target, trust float64) {
-		if !slices.ContainsFunc(list, func(c possible) bool { return c.target == t }) {
-			list = append(list, possible{t, trust})
+		if !slices.ContainsFunc(list, func(c contender) bool { return c.target == t }) {
+			list = append(list, contender{t, trust})
 		}
 	}
 	for i, t := range homesOf(targets, prompt) {
@@ -69,7 +70,7 @@
 			add(t, 0)
 		}
 	}
-	for range sampledReaders {
+	for range sampledBeside {
 		add(targets[p.draw(len(targets))], 0)
 	}
 	return list
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -38,9 +38,9 @@
 func (k *striking) entry() *instance   { return k.site.entries[k.fault.On%len(k.site.entries)] }
 func (k *striking) control() *instance { return k.site.controls[k.fault.On%len(k.site.controls)] }
 func (k *striking) target() *target    { return k.site.targets[k.fault.On%len(k.site.targets)] }
-func (k *striking) last(ctx context.Context) {
-	k.site.sleep(ctx, k.fault.For)
-}
+
+// last waits for as long as the fault lasts.
+func (k *striking) last(ctx context.Context) { k.site.sleep(ctx, k.fault.For) }
 
 func (k *striking) strike(ctx context.Context) {
 	s := k.site
--- a/soak/history.go
+++ b/soak/history.go
@@ -64,8 +64,8 @@
 	// Runs is how often each request was run, over all targets.
 	Runs map[string]int
 	Acks []Ack
-	// Sent is when each version was sent first; Refusable are versions that are
-	// invalid or whose content must not show.
+	// Sent is when each version was sent first; Invalid are those that must be
+	// refused.
 	Sent     map[uint64]time.Time
 	Invalid  map[uint64]bool
 	Readings []Reading
--- a/soak/instance.go
+++ b/soak/instance.go
@@ -31,8 +31,8 @@
 	started time.Time
 	// wanted is true while the process has no reason to end.
 	wanted bool
-	paused bool
-	alone  []string
+	// unasked are ends and failures that the soak did not bring about.
+	unasked []string
 }
 
 func (i *instance) settingsFile() string { return filepath.Join(i.folder, "settings.toml") }
@@ -58,7 +58,7 @@
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", i.name, err)
 	}
-	i.command, i.ended, i.wanted, i.paused = c, make(chan struct{}), true, false
+	i.command, i.ended, i.wanted = c, make(chan struct{}), true
 	i.starts++
 	i.started = time.Now()
 	w := &waiting{instance: i, command: c, ended: i.ended}
@@ -78,7 +78,7 @@
 	w.instance.mutex.Lock()
 	defer w.instance.mutex.Unlock()
 	if w.instance.wanted && w.instance.command == w.command {
-		w.instance.alone = append(w.instance.alone, fmt.Sprintf("%s ended by itself %v after its start: %v", w.instance.name, time.Since(w.instance.started).Round(time.Millisecond), err))
+		w.instance.unasked = append(w.instance.unasked, fmt.Sprintf("%s ended by itself %v after its start: %v", w.instance.name, time.Since(w.instance.started).Round(time.Millisecond), err))
 	}
 	close(w.ended)
 }
@@ -90,16 +90,11 @@
 	if i.command == nil {
 		return
 	}
-	switch s {
-	case syscall.SIGKILL, syscall.SIGTERM:
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		i.wanted = false
-	case syscall.SIGSTOP:
-		i.paused = true
-	case syscall.SIGCONT:
-		i.paused = false
 	}
 	if err := i.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		i.alone = append(i.alone, fmt.Sprintf("%s could not be signalled: %v", i.name, err))
+		i.unasked = append(i.unasked, fmt.Sprintf("%s could not be signalled: %v", i.name, err))
 	}
 }
 
@@ -127,7 +122,7 @@
 func (i *instance) ownEnds() []string {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return append([]string(nil), i.alone...)
+	return append([]string(nil), i.unasked...)
 }
 
 // tear appends part of a record to the log of a stopped instance, as a write
--- a/soak/site.go
+++ b/soak/site.go
@@ -25,7 +25,8 @@
 	targetPort   = 7304
 	platformPort = 7305
 	readyPort    = 7306
-	behind       = 1000
+	// behind is the distance to the port that a process itself listens on.
+	behind = 1000
 )
 
 // Hosts are numbered in one network of their own.
@@ -127,9 +128,11 @@
 	w := &settingsWriter{site: s, instance: i}
 	i.write = w.write
 	ports := []uint16{entryPort}
-	s.entriesOrControls(i)
 	if control {
+		s.controls = append(s.controls, i)
 		ports = []uint16{operatorPort, peerPort}
+	} else {
+		s.entries = append(s.entries, i)
 	}
 	for _, port := range ports {
 		if err := s.network.forward(s.at(host, port), s.at(host, port+behind)); err != nil {
@@ -139,14 +142,6 @@
 	return nil
 }
 
-func (s *site) entriesOrControls(i *instance) {
-	if i.control {
-		s.controls = append(s.controls, i)
-	} else {
-		s.entries = append(s.entries, i)
-	}
-}
-
 // A settingsWriter renders the settings of an instance.
 type settingsWriter struct {
 	site     *site
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,7 +42,7 @@
 func (c Config) bounds() Bounds {
 	b := promised
 	factor := time.Duration(max(1, c.Patience))
-	for _, d := range []*time.Duration{&b.Effect, &b.Drain, &b.Grace, &b.Loss, &b.Recovery} {
+	for _, d := range []*time.Duration{&b.Effect, &b.Downgrade, &b.Drain, &b.Grace, &b.Loss, &b.Thaw, &b.Recovery} {
 		*d *= factor
 	}
 	return b
