Tell a target's starts apart in the soak

Traced in the control instances' logs: GONE at 172.42, READY in a birth of 172.519 at 172.93, and requests from then on. The product was right; the platform's targets may do so. Change: leaves and arrivals name the start.

--- a/soak/history.go
+++ b/soak/history.go
@@ -47,6 +47,7 @@
 
 // An Arrival represents a request that reached a target.
 type Arrival struct {
+	// Target is one start of a target, as in Leaves.
 	Target string
 	ID     string
 	Tenant string
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -177,3 +177,13 @@
 	}
 	require.Empty(t, h.Check(promised))
 }
+
+// TestRebornTargetIsAnother has a target that left start again under its name.
+func TestRebornTargetIsAnother(t *testing.T) {
+	h := kept()
+	h.Leaves = []Span{{From: after(1), On: birthName("i", 1)}}
+	h.Arrivals = []Arrival{{Target: birthName("i", 2), ID: "a", Tenant: workspaceName, At: after(6)}}
+	require.Empty(t, h.Check(promised))
+	h.Arrivals[0].Target = birthName("i", 1)
+	require.Len(t, h.Check(promised), 1)
+}
--- a/soak/target.go
+++ b/soak/target.go
@@ -77,7 +77,7 @@
 func (t *target) run(ctx context.Context) {
 	client := t.site.client(t.host)
 	for at := t.host; ctx.Err() == nil; {
-		if word, noted, ok := t.word(); ok {
+		if word, birth, ok := t.word(); ok {
 			control := t.site.controls[at%len(t.site.controls)]
 			if err := word.Say(ctx, client, t.site.at(control.host, operatorPort).String()); err != nil {
 				at++
@@ -85,29 +85,37 @@
 				continue
 			}
 			if word.Draining {
-				t.acknowledged(word, noted)
+				t.acknowledged(birth)
 			}
 		}
 		t.site.sleep(ctx, announceInterval)
 	}
 }
 
-func (t *target) word() (standin.Word, chan struct{}, bool) {
+// A birth is one start of a target. Another one may bear the same name.
+type birth struct {
+	name  string
+	noted chan struct{}
+}
+
+func birthName(id string, start int) string { return fmt.Sprintf("%s in start %d", id, start) }
+
+func (t *target) word() (standin.Word, birth, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.seq++
 	return standin.Word{
 		ID: t.standing.ID(), Service: t.service, Address: t.address(), Domain: t.domain, Stage: t.standing.Stage(), Slots: 16,
 		Born: t.born.UnixMilli(), Seq: t.seq, Draining: t.draining,
-	}, t.noted, !t.down
+	}, birth{birthName(t.standing.ID(), t.starts), t.noted}, !t.down
 }
 
-func (t *target) acknowledged(w standin.Word, noted chan struct{}) {
+func (t *target) acknowledged(b birth) {
 	select {
-	case <-noted:
+	case <-b.noted:
 	default:
-		t.site.history.leave(Span{From: time.Now(), On: w.ID})
-		close(noted)
+		t.site.history.leave(Span{From: time.Now(), On: b.name})
+		close(b.noted)
 	}
 }
 
@@ -172,7 +180,7 @@
 func (t *target) collect(h *History) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, s := range t.all {
+	for i, s := range t.all {
 		for id, n := range s.AllRuns() {
 			h.Runs[id] += n
 		}
@@ -180,7 +188,7 @@
 			if seen.ID == "" || seen.Method != http.MethodPost || seen.Expect != "" && seen.Expect != s.ID() {
 				continue
 			}
-			h.Arrivals = append(h.Arrivals, Arrival{Target: s.ID(), ID: seen.ID, Tenant: seen.Tenant, Key: seen.Key, At: seen.At})
+			h.Arrivals = append(h.Arrivals, Arrival{Target: birthName(s.ID(), i+1), ID: seen.ID, Tenant: seen.Tenant, Key: seen.Key, At: seen.At})
 		}
 	}
 }
