Heed targets that state that they leave or ask for a pause

Cause: a target that is about to end now says so in its responses, possibly before any heartbeat reaches a control instance, and a target that turns a request away may ask for a pause; neither header was read. A declined prefill also counted as a failure for ejection. Change: a response with the leaving mark takes the incarnation out of its fleet at once, marks its roster row as draining (a later start alone brings it back) and reaches the other instances with the next watch request. A pause holds on every path through the fleet (direct, prefill, continuation), survives a rebuilt target, and is no failure; when every target paused, callers are refused at once with the time until the first one takes requests. Ruled out: marking by address or time, since clocks step and addresses are used again; the incarnation decides.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -93,14 +93,21 @@
 	c.server.logTargetFailed(c, t, err)
 }
 
-// recordResponse records that the target responded and the load that it reports. It
-// returns the decoded status and header.
+// recordResponse records that the target responded, and what it states of itself: its
+// load, that it is leaving, that it asks for a pause. It returns the decoded status and
+// header.
 func (c *call) recordResponse(t *route.Target, response *exchange.Response) ResponseInfo {
 	info := c.server.deps.Codec.DecodeResponse(response.Status(), response.Header())
 	c.server.deps.Fleets.Responded(t)
 	if info.HasLoad {
 		t.SetReport(route.Load{Running: info.Load.Running, Waiting: info.Load.Waiting}, time.Now())
 	}
+	if info.Leaving {
+		c.server.deps.Fleets.Leaving(t)
+	}
+	if info.RetryAfter != 0 {
+		c.server.deps.Fleets.Pause(t, info.RetryAfter, time.Now())
+	}
 	return info
 }
 
@@ -169,7 +176,7 @@
 		// The target may have declined only because it could not fetch the KV cache.
 	case withKVSource:
 		c.kvSource, c.localPrefill = "", true
-	default:
+	case info.RetryAfter <= 0:
 		t.RecordDecline(time.Now())
 	}
 	return false, nil
@@ -209,7 +216,9 @@
 		return false, fail(http.StatusBadGateway, "target_failed", "the response does not come from a target")
 	}
 	c.countRun()
-	c.server.deps.Fleets.Failed(c.service.Name, t, false)
+	if info.RetryAfter <= 0 {
+		c.server.deps.Fleets.Failed(c.service.Name, t, false)
+	}
 	c.lastFailure = &bufferedResponse{status: response.Status(), header: response.Header(), body: body}
 	if c.mayRetry() {
 		c.excluded = append(c.excluded, t.Name())
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -168,6 +168,9 @@
 	if c.runs > 0 {
 		return fail(http.StatusBadGateway, "target_failed", "the target failed during the request and no other target can take it")
 	}
+	if pause := c.server.deps.Fleets.Fleet(c.service.Name).PauseLeft(time.Now()); pause > 0 {
+		return refuse(http.StatusServiceUnavailable, "targets_paused", "every target of the service asked for a pause").withRetryAfter(pause)
+	}
 	return refuse(http.StatusServiceUnavailable, "no_target", "no target of the service can take the request now").withRetryAfter(c.retryAfter())
 }
 
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -79,6 +79,11 @@
 	WrongTarget bool
 	Load        Load
 	HasLoad     bool
+	// Leaving is true if the target states that it is about to end.
+	Leaving bool
+	// RetryAfter is for how long the target asks for no requests; 0 if it does not ask,
+	// negative if what it asks cannot be understood.
+	RetryAfter time.Duration
 }
 
 // A Load is the load that a target reports: the numbers of running and waiting
--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -22,6 +22,7 @@
 	placer  route.Placer
 	entries atomic.Int64
 	reach   *reachability
+	leaving LeavingRecorder
 	logger  *event.Logger
 
 	mutex    sync.Mutex
@@ -30,6 +31,13 @@
 	fleets   atomic.Pointer[map[string]*route.Fleet]
 }
 
+// A LeavingRecorder takes note of targets that are about to end.
+type LeavingRecorder interface {
+	// MarkLeaving records that the incarnation of the target, and every earlier one, must
+	// not get requests any more.
+	MarkLeaving(target string, incarnation int64)
+}
+
 // A knownTarget is a target with its latest roster row.
 type knownTarget struct {
 	row    *peer.TargetRow
@@ -52,8 +60,8 @@
 const maxBlocksPerService = 20_000
 
 // NewFleets returns Fleets without targets, for an instance in the failure domain.
-func NewFleets(domain string, placer route.Placer, logger *event.Logger) *Fleets {
-	f := &Fleets{domain: domain, placer: placer, logger: logger, reach: newReachability(), targets: map[string]*knownTarget{}, services: map[string]*serviceState{}}
+func NewFleets(domain string, placer route.Placer, leaving LeavingRecorder, logger *event.Logger) *Fleets {
+	f := &Fleets{domain: domain, placer: placer, leaving: leaving, logger: logger, reach: newReachability(), targets: map[string]*knownTarget{}, services: map[string]*serviceState{}}
 	f.fleets.Store(&map[string]*route.Fleet{})
 	f.entries.Store(1)
 	return f
@@ -138,20 +146,24 @@
 		k.row = row
 		return k
 	}
+	next := newTarget(row, now)
+	if k != nil {
+		next.InheritPause(k.target)
+	}
 	if same {
-		k.row, k.target = row, newTarget(row, now)
+		k.row, k.target = row, next
 		return k
 	}
 	if k != nil {
 		state.index.RemoveTarget(k.target)
 	}
-	k = &knownTarget{row: row, target: newTarget(row, now)}
+	k = &knownTarget{row: row, target: next}
 	f.targets[row.Id] = k
 	return k
 }
 
 func newTarget(row *peer.TargetRow, now time.Time) *route.Target {
-	spec := route.Spec{Name: row.Id, Address: row.Address, FailureDomain: row.Domain, Slots: int(row.Slots), Reclaimable: row.Reclaimable}
+	spec := route.Spec{Name: row.Id, Address: row.Address, FailureDomain: row.Domain, Slots: int(row.Slots), Reclaimable: row.Reclaimable, Incarnation: row.BornMs}
 	if row.Stage == peer.TargetRow_PREFILL {
 		spec.Stage = route.PrefillOnly
 	}
@@ -184,6 +196,27 @@
 	}
 }
 
+// Leaving records that the target stated that it is about to end. It gets no requests
+// from now on; a later start of it does.
+func (f *Fleets) Leaving(t *route.Target) {
+	if !t.SetLeaving() {
+		return
+	}
+	f.leaving.MarkLeaving(t.Name(), t.Incarnation())
+	f.logger.Log(event.TargetLeaving, zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()))
+}
+
+// maxPause bounds the pause that a target can ask for.
+const maxPause = 5 * time.Minute
+
+// Pause records that the target asked for no requests for the given time. A negative
+// time is one that could not be decoded; it asks for no pause.
+func (f *Fleets) Pause(t *route.Target, asked time.Duration, now time.Time) {
+	pause := min(maxPause, max(0, asked))
+	t.Pause(now.Add(pause))
+	f.logger.Log(event.TargetPaused, zap.String("target", t.Name()), zap.Int64("pause_ms", pause.Milliseconds()), zap.Bool("bounded", pause != asked))
+}
+
 // ConnectTimedOut records that a connection attempt to the target timed out. If its
 // failure domain seems unreachable, all targets there are avoided for a while. The
 // instance's own failure domain is never taken for unreachable.
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -64,8 +64,10 @@
 		c.prefillRuns++
 	}
 	if response.Status() != http.StatusOK || info.NotRun {
-		c.server.deps.Fleets.Failed(c.service.Name, t, info.WrongTarget)
-		t.RecordDecline(time.Now())
+		if info.RetryAfter <= 0 {
+			c.server.deps.Fleets.Failed(c.service.Name, t, info.WrongTarget)
+			t.RecordDecline(time.Now())
+		}
 		c.excluded = append(c.excluded, t.Name())
 		c.prefillRejected()
 		return ""
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -47,8 +47,10 @@
 	// as unresponsive.
 	unresponsiveAfter time.Duration
 
-	mutex    sync.Mutex
-	entries  map[string]*entry
+	mutex   sync.Mutex
+	entries map[string]*entry
+	// leaving holds this instance's own observations of leaving targets by id.
+	leaving  map[string]leavingReport
 	revision uint64
 	changed  chan struct{}
 	snapshot atomic.Pointer[Snapshot]
@@ -69,7 +71,7 @@
 // New returns an empty roster that takes the time from now. A target is marked
 // as unresponsive after unresponsiveAfter without a heartbeat.
 func New(now func() time.Duration, unresponsiveAfter time.Duration) *Roster {
-	r := &Roster{now: now, unresponsiveAfter: unresponsiveAfter, entries: map[string]*entry{}, changed: make(chan struct{})}
+	r := &Roster{now: now, unresponsiveAfter: unresponsiveAfter, entries: map[string]*entry{}, leaving: map[string]leavingReport{}, changed: make(chan struct{})}
 	r.snapshot.Store(newSnapshot(0, nil))
 	return r
 }
@@ -99,6 +101,7 @@
 	defer r.mutex.Unlock()
 	before := r.revision
 	for _, row := range rows {
+		r.confirmLeaving(row)
 		r.merge(row, time.Duration(row.AgeMs)*time.Millisecond)
 		r.mergeSwitching(row)
 	}
--- a/route/place.go
+++ b/route/place.go
@@ -143,6 +143,25 @@
 	return slices.Contains(f.targets, t) && t.available(now)
 }
 
+// PauseLeft returns the time until the first of the fleet's decode targets takes requests
+// again, or 0 unless every one of them asked for a pause.
+func (f *Fleet) PauseLeft(now time.Time) time.Duration {
+	least := time.Duration(0)
+	for _, t := range f.decodeTargets {
+		if t.leaving.Load() {
+			continue
+		}
+		left := t.pauseLeft(now)
+		if left == 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 func cheaper(a, b Placement) Placement {
 	if a.DecodeTarget == nil || b.cost < a.cost {
 		return b
--- a/route/target.go
+++ b/route/target.go
@@ -35,8 +35,14 @@
 	stage       Stage
 	hash        uint64
 	warmedUpAt  time.Time
+	incarnation int64
 
 	silent atomic.Bool
+	// leaving is true once the target has stated that it is about to end.
+	leaving atomic.Bool
+	// pausedUntil is until when the target asked for no requests, in nanoseconds since
+	// 1970.
+	pausedUntil atomic.Int64
 	// backoffUntil is when the target is tried again after it declined a request,
 	// in nanoseconds since 1970.
 	backoffUntil atomic.Int64
@@ -88,6 +94,8 @@
 	// WarmedUpAt is when the target is no longer slow after its start. It may be
 	// zero.
 	WarmedUpAt time.Time
+	// Incarnation tells the starts of a target apart; a later start has a higher one.
+	Incarnation int64
 }
 
 // A Stage tells which stages of a request a target runs.
@@ -104,7 +112,7 @@
 // NewTarget returns a target that has not reported its load.
 func NewTarget(s Spec) *Target {
 	return &Target{name: s.Name, address: s.Address, domain: s.FailureDomain, slots: s.Slots, reclaimable: s.Reclaimable, cost: s.TokenCost,
-		stage: s.Stage, warmedUpAt: s.WarmedUpAt, hash: hashName(s.Name)}
+		stage: s.Stage, warmedUpAt: s.WarmedUpAt, incarnation: s.Incarnation, hash: hashName(s.Name)}
 }
 
 func (t *Target) Name() string { return t.name }
@@ -113,6 +121,9 @@
 
 func (t *Target) FailureDomain() string { return t.domain }
 
+// Incarnation returns the number that tells this start of the target from others.
+func (t *Target) Incarnation() int64 { return t.incarnation }
+
 // Slots returns the number of requests that the target runs at once.
 func (t *Target) Slots() int { return t.slots }
 
@@ -148,6 +159,29 @@
 // seems to be unreachable. It is still used if no other target is available.
 func (t *Target) SetUnreachable(until time.Time) { t.unreachableUntil.Store(until.UnixNano()) }
 
+// SetLeaving records that the target is about to end, and reports whether that is news.
+// It gets no requests any more.
+func (t *Target) SetLeaving() bool { return !t.leaving.Swap(true) }
+
+// Pause keeps requests from the target until the given time, because it asked for that.
+// An earlier end of a pause never replaces a later one.
+func (t *Target) Pause(until time.Time) {
+	for end := until.UnixNano(); ; {
+		known := t.pausedUntil.Load()
+		if end <= known || t.pausedUntil.CompareAndSwap(known, end) {
+			return
+		}
+	}
+}
+
+// InheritPause takes over the pause that the other target asked for.
+func (t *Target) InheritPause(other *Target) { t.pausedUntil.Store(other.pausedUntil.Load()) }
+
+// pauseLeft returns how much longer the target asked for no requests.
+func (t *Target) pauseLeft(now time.Time) time.Duration {
+	return max(0, time.Duration(t.pausedUntil.Load()-now.UnixNano()))
+}
+
 // RecordAccept records that the target accepted a request, which resets the backoff.
 func (t *Target) RecordAccept() { t.declines.Store(0) }
 
@@ -167,7 +201,7 @@
 // availableIfReachable is like available but ignores whether the target's failure
 // domain seems unreachable.
 func (t *Target) availableIfReachable(now time.Time) bool {
-	return !t.switching.Load() && now.UnixNano() >= t.backoffUntil.Load()
+	return !t.leaving.Load() && !t.switching.Load() && now.UnixNano() >= t.backoffUntil.Load() && t.pauseLeft(now) == 0
 }
 
 // warmUpLeft returns how much longer the target is slow after its start.
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -93,10 +93,11 @@
 		return nil, err
 	}
 	f := s.Fleet
+	targets := roster.New(clock.Now, missedHeartbeatLimit*f.HeartbeatInterval.AsDuration())
 	e := &Entry{
 		settings: s, logger: logger, incarnation: newIncarnation(), outboundClients: out, startedAt: clock.Now(),
-		roster:   roster.New(clock.Now, missedHeartbeatLimit*f.HeartbeatInterval.AsDuration()),
-		fleets:   gateway.NewFleets(s.FailureDomain, route.Placer{TransferDelay: kvTransferDelay, RemoteDelay: remoteDomainDelay, CrossDomainDelay: crossDomainDelay}, logger),
+		roster:   targets,
+		fleets:   gateway.NewFleets(s.FailureDomain, route.Placer{TransferDelay: kvTransferDelay, RemoteDelay: remoteDomainDelay, CrossDomainDelay: crossDomainDelay}, targets, logger),
 		budget:   retry.NewBudgetShare(f.RetryRatio, f.RetrySlack, f.RetryWindow.AsDuration()),
 		suspects: retry.NewSuspects(), startedRequests: usage.NewStartedRequests(f.UsageWindow.AsDuration()),
 		documents: make(chan *peer.ReplaceDocument, 16), failures: make(chan error, 4), stopped: make(chan struct{}),
@@ -201,6 +202,7 @@
 		Instance: e.settings.Instance, Incarnation: e.incarnation, Domain: e.settings.FailureDomain,
 		Version: e.configurationVersion.Load(), WallMs: time.Now().UnixMilli(), Begun: e.startedRequests.Counters(),
 	}
+	request.Leaving = e.roster.LeavingReports()
 	for _, suspicion := range e.suspects.OwnSuspicions(clock.Now()) {
 		request.Suspicions = append(request.Suspicions, &peer.Suspicion{
 			Fingerprint: suspicion.Fingerprint, Crashes: int32(suspicion.Failures), AgeMs: suspicion.Age.Milliseconds(),
--- a/watch/server.go
+++ b/watch/server.go
@@ -102,6 +102,7 @@
 // after MaxHold.
 func (s *Server) Watch(ctx context.Context, request *peer.WatchRequest) *peer.WatchResponse {
 	s.recordRequest(request)
+	s.roster.MergeLeaving(request.Leaving)
 	s.waitForChange(ctx, request)
 	return s.response(request)
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -196,3 +196,21 @@
 	}
 	require.LessOrEqual(t, exchangeInterval(60), 250*time.Millisecond)
 }
+
+// TestLeavingTargetsAreDistributed checks that a target that one instance reports as
+// leaving wakes another instance's request, as a draining target.
+func TestLeavingTargetsAreDistributed(t *testing.T) {
+	s, _, r := newServer(t)
+	r.UpdateTarget(&peer.TargetRow{Id: "t1", State: peer.TargetRow_READY, Address: "1:1", BornMs: 1, Seq: 1})
+	first := s.Watch(context.Background(), newRequest("e1"))
+	next := newRequest("e1")
+	next.Server, next.Roster = first.Server, first.Roster
+	responses := make(chan *peer.WatchResponse, 1)
+	go func() { responses <- s.Watch(context.Background(), next) }()
+	report := newRequest("e2")
+	report.Leaving = []*peer.LeavingTarget{{Id: "t1", BornMs: 1}}
+	s.Watch(context.Background(), report)
+	response := <-responses
+	require.Len(t, response.Rows, 1)
+	require.Equal(t, peer.TargetRow_DRAINING, response.Rows[0].State)
+}
