Bound bytes that never end, from targets, callers and peers

Cause: a target in trouble may send bytes without end, in a header, an interim response, a trailer or a body. The header of a response had no limit (memory grew until the process was killed), a body was limited to 16 MiB for each request only, an event of a stream not at all, and a caller's body had no time limit. Change: 64 KiB before a body begins, interim responses included; 1 MiB for a late response that is skipped; 48 MiB for all bodies held at once; 1 MiB for one event; the body of a caller until its request's deadline (408). Peer messages 32 MiB in both directions (64 in one), configurations 16 MiB (64), 30 s for a call of a peer, target or operator to arrive. A slow but sound stream ends with its deadline only, as before.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -80,8 +80,9 @@
 // A Dialer opens the outgoing connections of one instance and keeps idle ones for
 // reuse. It is safe for concurrent use.
 type Dialer struct {
-	net  *net.Dialer
-	idle idlePool
+	net     *net.Dialer
+	idle    idlePool
+	buffers bufferBudget
 	// onDropped, if not nil, is called for each idle connection that a target
 	// dropped without closing it.
 	onDropped func(address string, idle, limit time.Duration)
--- a/exchange/idlepool.go
+++ b/exchange/idlepool.go
@@ -37,6 +37,8 @@
 // A conn is an open connection to a target.
 type conn struct {
 	net.Conn
+	// limit bounds what reader reads from the connection.
+	limit  *limitedConn
 	reader *bufio.Reader
 	// reused is true if the connection has carried an earlier exchange.
 	reused bool
@@ -48,6 +50,11 @@
 	idleTime time.Duration
 }
 
+func newConn(connection net.Conn) *conn {
+	limit := &limitedConn{Conn: connection}
+	return &conn{Conn: connection, limit: limit, reader: bufio.NewReaderSize(limit, responseBufferBytes)}
+}
+
 // An idlePool holds idle connections by target address. It is safe for concurrent
 // use.
 type idlePool struct {
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -44,7 +43,9 @@
 	stop      func() bool
 	written   chan error
 	keepAlive time.Duration
-	once      sync.Once
+	// buffered counts the bytes of the body that are held in memory.
+	buffered int64
+	once     sync.Once
 }
 
 // A trackedBody is a body that records whether it was read to its end.
@@ -133,12 +134,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: connection, reader: bufio.NewReaderSize(connection, responseBufferBytes)}, nil
+	return newConn(connection), nil
 }
 
-// maxResponses bounds the responses that are read for one request: interim ones, late
-// ones to earlier requests, and its own.
-const maxResponses = 3
+// maxLateResponses bounds the late responses to earlier requests that are skipped.
+const maxLateResponses = 2
 
 // exchange writes the request and reads the header of its response, skipping
 // interim responses and late ones to earlier requests.
@@ -152,14 +152,11 @@
 		}
 		resp.written <- nil
 	}
-	for range maxResponses {
-		response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
+	for range maxLateResponses + 1 {
+		response, err := resp.readHead(r.Method)
 		if err != nil {
 			return fmt.Errorf("read response: %w", err)
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		late, err := resp.discardIfLate(r, response)
 		if err != nil {
 			return err
@@ -174,6 +171,21 @@
 	return ErrMismatched
 }
 
+// readHead reads the header of the next response, skipping interim ones.
+func (resp *Response) readHead(method string) (*http.Response, error) {
+	resp.conn.limit.allow(maxHeadBytes)
+	defer resp.conn.limit.allowAll()
+	for {
+		response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
 // discardIfLate reports whether the response belongs to an earlier request on the
 // same connection, and discards its body in that case. It fails with ErrMismatched
 // if the response belongs to no request on the connection. An error response without a
@@ -188,9 +200,13 @@
 	if !resp.conn.reused || got == "" {
 		return false, ErrMismatched
 	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxLateBytes+1))
+	if err != nil {
 		return false, fmt.Errorf("discard late response: %w", err)
 	}
+	if n > maxLateBytes {
+		return false, fmt.Errorf("discard late response: %w", ErrBodyTooLong)
+	}
 	return true, nil
 }
 
@@ -253,21 +269,40 @@
 // ReadAll reads the rest of the body. It fails if that is longer than limit bytes
 // or if the body is cut short.
 func (resp *Response) ReadAll(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(&resp.body, limit+1))
+	if length := resp.Length(); length > limit {
+		return nil, &Error{sent: true, err: fmt.Errorf("read body of %d bytes: %w", length, ErrBodyTooLong)}
+	}
+	data, err := io.ReadAll(io.LimitReader(reservingReader{resp}, limit+1))
 	if err != nil {
 		return nil, &Error{sent: true, err: fmt.Errorf("read body: %w", err)}
 	}
 	if int64(len(data)) > limit {
-		return nil, &Error{sent: true, err: fmt.Errorf("response body exceeds the limit of %d bytes", limit)}
+		return nil, &Error{sent: true, err: fmt.Errorf("read body of over %d bytes: %w", limit, ErrBodyTooLong)}
 	}
 	return data, nil
 }
 
+// A reservingReader reads a body that is kept in memory until its response is closed.
+type reservingReader struct{ response *Response }
+
+// Read reads from the body and counts the bytes against the memory for bodies.
+func (r reservingReader) Read(p []byte) (int, error) {
+	n, err := r.response.body.Read(p)
+	if n > 0 {
+		if !r.response.dialer.buffers.reserve(int64(n)) {
+			return 0, ErrBuffersFull
+		}
+		r.response.buffered += int64(n)
+	}
+	return n, err
+}
+
 // Close ends the exchange. The connection is kept for reuse if the exchange is
 // complete; otherwise it is closed, which cancels the request if the target still
 // runs it.
 func (resp *Response) Close() {
 	resp.once.Do(func() {
+		resp.dialer.buffers.release(resp.buffered)
 		if resp.stop() && resp.complete() {
 			resp.dialer.idle.put(resp.address, resp.conn, resp.keepAlive, time.Now())
 			return
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,13 +31,13 @@
 		return c, f
 	}
 	c.service = c.configuration.Service(c.route.ChooseService(rand.Float64()))
-	if f := c.readBody(); f != nil {
-		return c, f
-	}
 	c.deadline = c.arrived.Add(c.route.Timeout)
 	if wait := c.info.Timeout; wait > 0 && wait < c.route.Timeout {
 		c.deadline = c.arrived.Add(wait)
 	}
+	if f := c.readBody(); f != nil {
+		return c, f
+	}
 	return c, nil
 }
 
@@ -80,17 +82,28 @@
 	return refuse(http.StatusUnauthorized, "unknown_key", "no workspace has this key")
 }
 
-// readBody reads the request's body and derives its prompt and fingerprint.
+// readBody reads the request's body, at the longest until the deadline, and derives its
+// prompt and fingerprint.
 func (c *call) readBody() *failure {
 	limit := c.configuration.Limits().MaxBodyBytes
 	if c.http.ContentLength > limit {
 		return refuse(http.StatusRequestEntityTooLarge, "too_large", "the request body exceeds the size limit")
 	}
+	connection := http.NewResponseController(c.writer)
+	if err := connection.SetReadDeadline(c.deadline); err != nil {
+		return refuse(http.StatusServiceUnavailable, "no_deadline", "the time for reading the request cannot be limited")
+	}
 	body, err := io.ReadAll(io.LimitReader(c.http.Body, limit+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.writer.Header().Set("Connection", "close")
+		return refuse(http.StatusRequestTimeout, "body_timeout", "the request body did not arrive in time")
+	}
 	if err != nil {
 		c.writer.Header().Set("Connection", "close")
 		return refuse(http.StatusBadRequest, "bad_request", "the request body could not be read in full")
 	}
+	// A failure means that the connection is closed, which ends the request anyway.
+	_ = connection.SetReadDeadline(time.Time{})
 	if int64(len(body)) > limit {
 		c.writer.Header().Set("Connection", "close")
 		return refuse(http.StatusRequestEntityTooLarge, "too_large", "the request body exceeds the size limit")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -57,7 +57,13 @@
 	lastID    string
 }
 
-const relayBufferBytes = 8 << 10
+const (
+	relayBufferBytes = 8 << 10
+	// maxEventBytes bounds an event, which is held until it is complete.
+	maxEventBytes = 1 << 20
+)
+
+var errEventTooLong = errors.New("event of the stream exceeds the limit")
 
 // stream forwards events as they arrive, and resumes the stream at another target if
 // this one fails and the route allows it. Once the caller has received a part, a
@@ -145,6 +151,9 @@
 	r.pending = append(r.pending, data...)
 	end := bytes.LastIndex(r.pending, eventTerminator)
 	if end < 0 {
+		if len(r.pending) > maxEventBytes {
+			return errEventTooLong
+		}
 		return nil
 	}
 	end += len(eventTerminator)
--- a/serve/control.go
+++ b/serve/control.go
@@ -43,7 +43,12 @@
 	rosterInterval = 500 * time.Millisecond
 	// operatorTimeout is below the second that operators wait for a response.
 	operatorTimeout = 900 * time.Millisecond
-	usageKind       = control.UsageIntentKind
+	// operatorReadTimeout bounds the time that a call of a target or operator takes to
+	// arrive.
+	operatorReadTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the header of a call.
+	maxHeaderBytes = 64 << 10
+	usageKind      = control.UsageIntentKind
 	// diskRetryInterval is the time between two checks whether the data folder of a
 	// failed disk is writable again.
 	diskRetryInterval = 500 * time.Millisecond
@@ -222,7 +227,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	c.operatorServer = &http.Server{Handler: platform.ControlHandler(c), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: c.logger.Standard()}
+	c.operatorServer = &http.Server{Handler: platform.ControlHandler(c), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: operatorReadTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: c.logger.Standard()}
 	return nil
 }
 
--- a/serve/document.go
+++ b/serve/document.go
@@ -18,10 +18,10 @@
 	// similar, and are sent to every instance over links that also carry requests.
 	compressThreshold = 4 << 10
 	// maxDocumentBytes bounds the decompressed size of a document.
-	maxDocumentBytes = 64 << 20
+	maxDocumentBytes = 16 << 20
 )
 
-var errDocumentTooLarge = errors.New("decompressed document exceeds 64 MiB")
+var errDocumentTooLarge = errors.New("decompressed document exceeds 16 MiB")
 
 // compressDocument returns the document in the form in which it is sent and
 // stored: gzip-compressed if body has at least compressThreshold bytes.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -29,11 +29,14 @@
 )
 
 const (
-	// maxMessageBytes is the maximum size of one request of the peer protocol.
-	maxMessageBytes   = 64 << 20
-	maxIdlePerPeer    = 4
-	idleTimeout       = 30 * time.Second
-	headerTimeout     = 5 * time.Second
+	// maxMessageBytes is the maximum size of one message of the peer protocol.
+	maxMessageBytes = 32 << 20
+	maxIdlePerPeer  = 4
+	idleTimeout     = 30 * time.Second
+	headerTimeout   = 5 * time.Second
+	// requestTimeout bounds the time that a request takes to arrive.
+	requestTimeout    = 30 * time.Second
+	maxHeaderBytes    = 64 << 10
 	authorizationName = "Authorization"
 	authorizationKind = "Bearer "
 )
@@ -69,8 +72,22 @@
 func NewClientWithDial(dial DialFunc, key string) *Client {
 	transport := &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &Client{key: key, transport: transport, http: &http.Client{Transport: transport}, peers: map[string]peer.Peer{}}
+	return &Client{key: key, transport: transport, http: &http.Client{Transport: boundedTransport{transport}}, peers: map[string]peer.Peer{}}
+}
+
+// A boundedTransport bounds the bodies of responses to maxMessageBytes.
+type boundedTransport struct{ *http.Transport }
+
+// RoundTrip implements [http.RoundTripper].
+func (t boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxMessageBytes)
+	return response, nil
 }
 
 // Peer returns the peer protocol client for the instance at the peer address.
@@ -130,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * idleTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: 2 * idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	if certificates != nil {
 		server.TLSConfig = certificates.MutualServerConfig()
 	}
