Bound the rate of watch responses in a large fleet

Cause: each change of a target woke every polling instance, 20 ms after its last response at the earliest. Change: a response to changed targets is delayed by up to 2 ms for each polling instance, at most 0.75 s, at random; configurations, suspicions and other control instances are not delayed. The rows that changed since a revision are built once for all that ask; the median of the clocks is kept for 0.25 s. A configuration that could not be committed is now logged (document_unconfirmed): until now nothing told why an operator got no acknowledgement.

--- a/event/event.go
+++ b/event/event.go
@@ -80,6 +80,7 @@
 	DomainReachable       = define(410, "domain_back", zapcore.InfoLevel, "a target of an unreachable failure domain answers again")
 	HoldOffEndedEarly     = define(210, "quiet_ended", zapcore.InfoLevel, "all voters have restarted, so the leader of the term has lost its lease; this voter ends its election hold-off early")
 	DocumentSource        = define(310, "document_source", zapcore.InfoLevel, "configurations are now fetched from this control instance")
+	DocumentUnconfirmed   = define(311, "document_unconfirmed", zapcore.WarnLevel, "a configuration could not be committed in time, or by this instance; the operator is told to send it again")
 	IdleTimeoutReduced    = define(516, "idle_time_cut", zapcore.WarnLevel, "a target had closed an idle connection; the idle timeout of connections is reduced for some time")
 	VotersPlanned         = define(207, "voters_planned", zapcore.InfoLevel, "the leader changes the voter set; reason tells why")
 	ReplicaInitialized    = define(208, "replica_founded", zapcore.InfoLevel, "a new data folder was initialised; founder tells whether the replica is an initial voter")
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,6 +17,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -38,6 +39,9 @@
 	// goneRetention is how long the row of a deregistered target is kept. It is
 	// much longer than any heartbeat is delayed.
 	goneRetention = 10 * time.Minute
+	// deltaTTL is how long the changed rows that one instance got are given to others as
+	// well. It is below contactTolerance.
+	deltaTTL = 100 * time.Millisecond
 )
 
 // A Roster holds the target rows that one instance knows.
@@ -52,8 +56,13 @@
 	// leaving holds this instance's own observations of leaving targets by id.
 	leaving  map[string]leavingReport
 	revision uint64
-	changed  chan struct{}
-	snapshot atomic.Pointer[Snapshot]
+	// deltas holds the results of Rows by the revision asked for. They belong to
+	// deltasRevision and were made at deltasAt or later. Many instances ask for the same.
+	deltas         map[uint64][]*peer.TargetRow
+	deltasRevision uint64
+	deltasAt       time.Duration
+	changed        chan struct{}
+	snapshot       atomic.Pointer[Snapshot]
 }
 
 // An entry is the row of one target with times on this instance's clock.
@@ -205,14 +214,28 @@
 }
 
 // Rows returns copies of the rows that changed since the revision, with their
-// current ages, and the current revision. Revision 0 returns all rows.
+// ages, and the current revision. Revision 0 returns all rows. The ages may be older by
+// up to deltaTTL. The caller must not modify the rows, since others get the same.
 func (r *Roster) Rows(since uint64) ([]*peer.TargetRow, uint64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.now()
+	if r.deltasRevision != r.revision || now-r.deltasAt > deltaTTL {
+		r.deltas, r.deltasRevision, r.deltasAt = map[uint64][]*peer.TargetRow{}, r.revision, now
+	}
+	rows, known := r.deltas[since]
+	if !known {
+		rows = r.rowsSince(since, now)
+		r.deltas[since] = rows
+	}
+	return rows, r.revision
+}
+
+// rowsSince returns copies of the rows that changed since the revision. r.mutex must be
+// held.
+func (r *Roster) rowsSince(since uint64, now time.Duration) []*peer.TargetRow {
 	var rows []*peer.TargetRow
-	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
-		e := r.entries[id]
+	for _, e := range r.entries {
 		if e.revision <= since {
 			continue
 		}
@@ -223,5 +246,6 @@
 		}
 		rows = append(rows, row)
 	}
-	return rows, r.revision
+	slices.SortFunc(rows, func(a, b *peer.TargetRow) int { return cmp.Compare(a.Id, b.Id) })
+	return rows
 }
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -50,12 +50,13 @@
 	result, err := c.replicaManager.Propose(ctx, &peer.Command{Actor: c.settings.Instance, Body: &peer.Command_Replace{
 		Replace: compressDocument(version, document),
 	}})
+	if err == nil && result.Code != peer.Result_OK {
+		err = fmt.Errorf("configuration not committed: %s", result.Detail)
+	}
 	if err != nil {
+		c.logger.Log(event.DocumentUnconfirmed, zap.Uint64("version", version), zap.Uint64("leader", c.voter.Status().Leader()), zap.Error(err))
 		return err
 	}
-	if result.Code != peer.Result_OK {
-		return fmt.Errorf("configuration not committed: %s", result.Detail)
-	}
 	c.logger.Log(event.DocumentAccepted, zap.Uint64("version", version), zap.Uint64("in_force", result.Version))
 	return nil
 }
--- a/watch/server.go
+++ b/watch/server.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -34,9 +35,18 @@
 const (
 	// MaxHold is how long the server holds a request when nothing has changed.
 	MaxHold = time.Second
-	// changeBatchDelay is how long a response to a change of the targets is
+	// changeBatchDelay is how long a response to a change of the targets is at least
 	// delayed to include further changes.
 	changeBatchDelay = 10 * time.Millisecond
+	// batchDelayPerWatcher lengthens that delay with the number of polling instances, so
+	// that the rate of responses grows neither with it nor with the rate of changes.
+	batchDelayPerWatcher = 2 * time.Millisecond
+	// longestBatchDelay bounds the delay: a draining target must be known everywhere
+	// before it stops serving.
+	longestBatchDelay = 750 * time.Millisecond
+	// medianTTL is how long the median of the instances' clocks is used before it is
+	// computed again.
+	medianTTL = 250 * time.Millisecond
 	// watcherTimeout is the time without a request after which an instance no
 	// longer counts as live.
 	watcherTimeout = 5 * time.Second
@@ -65,6 +75,9 @@
 	suspicions map[uint64]map[string]crashReport
 	// suspicionsChanged is closed, and replaced, when a crash count changes.
 	suspicionsChanged chan struct{}
+	// medianOffset is the median of the instances' wall clocks minus this instance's
+	// clock, as of medianAt.
+	medianOffset, medianAt time.Duration
 }
 
 // A watcher is an instance that polls this server.
@@ -155,19 +168,24 @@
 	timer := time.NewTimer(MaxHold)
 	defer timer.Stop()
 	s.mutex.Lock()
-	suspicionsChanged := s.suspicionsChanged
+	suspicionsChanged, watchers := s.suspicionsChanged, len(s.watchers)
 	s.mutex.Unlock()
+	rows := s.roster.Changed()
+	if s.roster.Snapshot().Revision() != request.Roster {
+		rows = nil
+		timer.Reset(batchDelay(request.Control, watchers))
+	}
 	for {
-		rows, changed := s.roster.Changed(), s.voter.Changed()
-		if s.roster.Snapshot().Revision() != request.Roster || s.documentVersion() > request.Version {
+		changed := s.voter.Changed()
+		if s.documentVersion() > request.Version {
 			return
 		}
 		select {
 		case <-rows:
 			// Targets often change together, for example when a whole failure
 			// domain is ordered.
-			time.Sleep(changeBatchDelay)
-			return
+			rows = nil
+			timer.Reset(batchDelay(request.Control, watchers))
 		case <-changed:
 		case <-suspicionsChanged:
 			return
@@ -179,6 +197,22 @@
 	}
 }
 
+// batchDelay returns how long a response to a change of the targets is delayed. It is
+// random, so that the instances do not all poll at the same time. Control instances,
+// which pass changes on, get them at once.
+func batchDelay(control bool, watchers int) time.Duration {
+	if control {
+		return changeBatchDelay
+	}
+	longest := maxBatchDelay(watchers)
+	return longest/2 + rand.N(longest/2)
+}
+
+// maxBatchDelay returns the longest delay for the number of polling instances.
+func maxBatchDelay(watchers int) time.Duration {
+	return min(longestBatchDelay, max(changeBatchDelay, time.Duration(watchers)*batchDelayPerWatcher))
+}
+
 // documentVersion returns the version of the committed configuration document.
 func (s *Server) documentVersion() (version uint64) {
 	s.voter.Read(func(m *control.Machine) { version = m.Document().GetVersion() })
@@ -237,14 +271,17 @@
 // and this one, so that a few clocks that stepped do not affect it.
 func (s *Server) medianTimeLocked() time.Duration {
 	now := s.now()
-	offsets := []time.Duration{time.Duration(clock.Wall().UnixNano()) - now}
-	for _, w := range s.watchers {
-		if now-w.lastContact < watcherTimeout {
-			offsets = append(offsets, w.offset)
+	if s.medianAt == 0 || now-s.medianAt > medianTTL {
+		offsets := []time.Duration{time.Duration(clock.Wall().UnixNano()) - now}
+		for _, w := range s.watchers {
+			if now-w.lastContact < watcherTimeout {
+				offsets = append(offsets, w.offset)
+			}
 		}
+		slices.Sort(offsets)
+		s.medianOffset, s.medianAt = offsets[len(offsets)/2], now
 	}
-	slices.Sort(offsets)
-	return offsets[len(offsets)/2] + now
+	return s.medianOffset + now
 }
 
 // MedianTime returns the estimated time since 1970, which is the median of the
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -24,7 +24,7 @@
 func (noLink) Send([]*peer.Message) {}
 
 // newServer returns a server over the voter of a control group of one.
-func newServer(t *testing.T) (*Server, *voter.Voter, *roster.Roster) {
+func newServer(t testing.TB) (*Server, *voter.Voter, *roster.Roster) {
 	dataFolder, err := storage.Open(t.TempDir())
 	require.NoError(t, err)
 	t.Cleanup(dataFolder.Close)
@@ -35,7 +35,7 @@
 	return NewServer("c1", v, r), v, r
 }
 
-func propose(t *testing.T, v *voter.Voter, version uint64) {
+func propose(t testing.TB, v *voter.Voter, version uint64) {
 	require.Eventually(t, func() bool {
 		_, err := v.Propose(context.Background(), &peer.Command{Body: &peer.Command_Replace{Replace: &peer.ReplaceDocument{Version: version, Body: []byte("x")}}})
 		return err == nil
