Send counters once, and hold polls longer in a large fleet

Cause: an entry instance polls every control instance each second and repeats all its counters of five windows, about 1 KB: 1,764 polls and 2 MB a second at rest for 294 entries, most of it between failure domains, and 294 polls a second at a control instance whatever the load. Change: a poll carries the counters that grew since the control instance last acknowledged them; an entry that a leader has confirmed lets its polls be held 8 ms for each entry, 1 s to 2.4 s, at most half of the contact time, and 1 s where withdrawn keys must stop working everywhere.

--- a/serve/entry.go
+++ b/serve/entry.go
@@ -202,6 +202,9 @@
 		Instance: e.settings.Instance, Incarnation: e.incarnation, Domain: e.settings.FailureDomain,
 		Version: e.configurationVersion.Load(), WallMs: time.Now().UnixMilli(), Begun: e.startedRequests.Counters(),
 	}
+	if e.leaderConfirmed.Load() && !e.settings.Fleet.StrictKeys {
+		request.HoldMs = min(watch.HoldFor(e.fleets.Entries()), e.settings.Fleet.RecoveryTime.AsDuration()/2).Milliseconds()
+	}
 	request.Leaving = e.roster.LeavingReports()
 	for _, suspicion := range e.suspects.OwnSuspicions(clock.Now()) {
 		request.Suspicions = append(request.Suspicions, &peer.Suspicion{
--- a/watch/client.go
+++ b/watch/client.go
@@ -28,7 +28,7 @@
 
 const (
 	// responseMargin is the time that a response may take in addition to
-	// MaxHold before the request times out.
+	// the hold before the request times out.
 	responseMargin = 700 * time.Millisecond
 	// minPollPause is the pause after a response, so that a control instance
 	// that responds immediately is not flooded with requests.
@@ -71,8 +71,9 @@
 	address string
 	// server is the incarnation of the control instance that roster, a revision
 	// of its target rows, belongs to.
-	server string
-	roster uint64
+	server   string
+	roster   uint64
+	counters sentCounters
 	// failures counts consecutive failed requests.
 	failures int
 	// unreachable is set from the first failure to the next success.
@@ -189,8 +190,10 @@
 func (l *pollLoop) poll() (time.Duration, bool) {
 	request := l.client.sink.Request()
 	request.Server, request.Roster = l.server, l.roster
+	begun := request.Begun
+	request.Begun = l.counters.missing(begun)
 	request.Spare, request.Version = l.client.documentRequest(l, request.Version)
-	ctx, cancel := context.WithTimeout(l.client.ctx, MaxHold+responseMargin)
+	ctx, cancel := context.WithTimeout(l.client.ctx, holdOf(request)+responseMargin)
 	defer cancel()
 	response, err := l.client.dialer.Peer(l.address).Watch(ctx, request)
 	if err != nil {
@@ -206,6 +209,7 @@
 		l.client.logger.Log(event.ControlRestored, zap.String("address", l.address), zap.Int("failures", l.failures))
 	}
 	l.failures, l.unreachable = 0, false
+	l.counters.acknowledge(response.Server, begun, request.Begun)
 	l.client.sink.HandleResponse(response)
 	if response.Full || l.server == response.Server {
 		l.server, l.roster = response.Server, response.Roster
--- a/watch/server.go
+++ b/watch/server.go
@@ -33,8 +33,14 @@
 )
 
 const (
-	// MaxHold is how long the server holds a request when nothing has changed.
-	MaxHold = time.Second
+	// MinHold is how long the server holds a request when nothing has changed, unless the
+	// request allows more.
+	MinHold = time.Second
+	// holdPerEntry is the hold that entry instances allow for each of them, so that the
+	// requests at a control instance at rest do not grow with their number.
+	holdPerEntry = 8 * time.Millisecond
+	// MaxHold bounds the hold. It is below watcherTimeout.
+	MaxHold = 2400 * time.Millisecond
 	// changeBatchDelay is how long a response to a change of the targets is at least
 	// delayed to include further changes.
 	changeBatchDelay = 10 * time.Millisecond
@@ -112,7 +118,7 @@
 }
 
 // Watch responds as soon as this instance has state that the requester lacks, or
-// after MaxHold.
+// after the hold.
 func (s *Server) Watch(ctx context.Context, request *peer.WatchRequest) *peer.WatchResponse {
 	s.recordRequest(request)
 	s.roster.MergeLeaving(request.Leaving)
@@ -160,12 +166,12 @@
 }
 
 // waitForChange returns when there is state that the requester lacks, after
-// MaxHold, or at once if its revision belongs to another incarnation.
+// the hold, or at once if its revision belongs to another incarnation.
 func (s *Server) waitForChange(ctx context.Context, request *peer.WatchRequest) {
 	if request.Server != s.incarnation {
 		return
 	}
-	timer := time.NewTimer(MaxHold)
+	timer := time.NewTimer(holdOf(request))
 	defer timer.Stop()
 	s.mutex.Lock()
 	suspicionsChanged, watchers := s.suspicionsChanged, len(s.watchers)
@@ -197,6 +203,16 @@
 	}
 }
 
+// HoldFor returns the hold that an entry instance allows in a fleet with that many.
+func HoldFor(entries int) time.Duration {
+	return min(MaxHold, max(MinHold, time.Duration(entries)*holdPerEntry))
+}
+
+// holdOf returns how long a request may be held.
+func holdOf(request *peer.WatchRequest) time.Duration {
+	return min(MaxHold, max(MinHold, time.Duration(request.HoldMs)*time.Millisecond))
+}
+
 // batchDelay returns how long a response to a change of the targets is delayed. It is
 // random, so that the instances do not all poll at the same time. Control instances,
 // which pass changes on, get them at once.
@@ -224,7 +240,7 @@
 	response := &peer.WatchResponse{Server: s.incarnation}
 	since := request.Roster
 	if request.Server != s.incarnation || request.Control && since == s.roster.Snapshot().Revision() {
-		// Control instances get all rows once per MaxHold, because they also
+		// Control instances get all rows once per hold, because they also
 		// need the current ages of unchanged rows.
 		since = 0
 	}
