Exchange load by failure domain in a large fleet

Cause: all entry instances exchanged the load that they have in flight at one control instance, 4 ms for each: every 1.18 s for 294 entries, while the prefill of a prompt takes 0.2 s, so that placement knew nothing of the others' prompts; and 5/6 of 1.25 MB a second crossed failure domains. Change: above 60 entries each reports to a control instance of its own domain (49 entries, every 196 ms), and the control instances exchange their sums in pairs every 100 ms. Where the domain has none left, all of its entries turn to the same other one. A watch response names the responder's domain, since founding replicas do not know each other's. Before: TestExchangeRateIsBounded fails with 1.2 s at 300 entries where it now asks for 250 ms at most. After: it passes with 250 requests a second at a control instance as before; TestMeshSumsAllDomains, TestLoadIsReportedByDomain. Ruled out: a shorter interval at one control instance (1,470 requests a second).

--- a/serve/control.go
+++ b/serve/control.go
@@ -75,6 +75,7 @@
 	replicaManager *replica.Manager
 	watchServer    *watch.Server
 	loadAggregator *watch.LoadAggregator
+	loadMesh       *watch.LoadMesh
 	watchClient    *watch.Client
 	meter          *authority.Meter
 	// decodedConfiguration caches the result of snapshot.
@@ -146,6 +147,7 @@
 	c.watchServer = watch.NewServer(c.incarnation, c.voter, c.roster)
 	c.loadAggregator = watch.NewLoadAggregator()
 	c.watchClient = watch.NewClient(self.Address, c.outboundClients.client, c, c.logger)
+	c.loadMesh = watch.NewLoadMesh(self.Address, c.loadAggregator, c.watchClient.Addresses, c.watchServer.Entries, c.outboundClients.client)
 	c.replicaManager = replica.New(replica.Config{Self: self, DesiredVoters: 2*f.ToleratedLosses + 1, ControlAddresses: c.watchClient.Addresses, ReportedMembers: c.watchClient.ControlReplicas}, c.voter, c.senders, c.outboundClients.client, c.logger)
 	c.buildLeaderTasks()
 }
@@ -237,6 +239,7 @@
 func (c *Control) Run(ctx context.Context) error {
 	c.voter.Start()
 	c.replicaManager.Start()
+	c.loadMesh.Start()
 	c.watchClient.SetSeeds(seedAddresses(c.settings.Fleet))
 	go c.runLinkServer()
 	go c.runOperators()
@@ -311,6 +314,7 @@
 	// Open calls finish; later ones go to other instances.
 	_ = c.operatorServer.Shutdown(ctx)
 	c.meter.Stop()
+	c.loadMesh.Stop()
 	c.replicaManager.Stop()
 	c.watchClient.Stop()
 	c.voter.Stop()
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -100,7 +100,9 @@
 
 // Watch serves an instance's long poll for targets and the configuration.
 func (s *controlPeerServer) Watch(ctx context.Context, request *peer.WatchRequest) (*peer.WatchResponse, error) {
-	return s.control.watchServer.Watch(ctx, request), nil
+	response := s.control.watchServer.Watch(ctx, request)
+	response.ResponderDomain = s.control.settings.FailureDomain
+	return response, nil
 }
 
 // Share exchanges the load that entry instances put on the targets.
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -109,7 +109,7 @@
 	}
 	out.dialer.OnDropped(e.logDroppedConnection)
 	e.watchClient = watch.NewClient("", out.client, e, logger)
-	e.loadExchanger = watch.NewLoadExchanger(e.incarnation, e.watchClient.Addresses, out.client, e.fleets)
+	e.loadExchanger = watch.NewLoadExchanger(e.incarnation, s.FailureDomain, e.watchClient, out.client, e.fleets)
 	e.gateway = gateway.New(gateway.Config{
 		RequestAddress: f.RequestAddress, ReadinessAddress: f.ReadinessAddress, StopNotice: min(shutdownNotice, f.StopGrace.AsDuration()/3), StopTimeout: f.StopGrace.AsDuration(),
 	}, gateway.Dependencies{
--- a/watch/client.go
+++ b/watch/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -61,6 +62,9 @@
 	// the highest term.
 	replicas []*peer.Replica
 	term     uint64
+	// domains holds the failure domain of each control instance that responded, by its
+	// address.
+	domains map[string]string
 	// source is the control instance that configuration documents come from.
 	source documentSource
 }
@@ -86,7 +90,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		self: self, dialer: dialer, sink: sink, logger: logger, ctx: ctx, cancel: cancel,
-		loops: map[string]*pollLoop{}, seeds: map[string]bool{}, advertised: map[string]bool{}, source: documentSource{timeout: sourceTimeout},
+		loops: map[string]*pollLoop{}, seeds: map[string]bool{}, advertised: map[string]bool{}, domains: map[string]string{}, source: documentSource{timeout: sourceTimeout},
 	}
 }
 
@@ -120,6 +124,20 @@
 	return list
 }
 
+// Domains returns the failure domains of the control instances that have responded, by
+// peer address.
+func (c *Client) Domains() map[string]string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.domains)
+}
+
+func (c *Client) recordDomain(address, domain string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.domains[address] = domain
+}
+
 // ControlReplicas returns the members of the control group as last listed by a
 // control instance.
 func (c *Client) ControlReplicas() []*peer.Replica {
@@ -165,6 +183,7 @@
 		return false
 	}
 	delete(c.loops, l.address)
+	delete(c.domains, l.address)
 	return true
 }
 
@@ -214,6 +233,7 @@
 	if response.Full || l.server == response.Server {
 		l.server, l.roster = response.Server, response.Roster
 	}
+	l.client.recordDomain(l.address, response.ResponderDomain)
 	l.client.updateReplicas(response)
 	l.client.noteReceived(response.Document.GetVersion())
 	if response.Version > request.Version && request.Spare {
--- a/watch/load_aggregator.go
+++ b/watch/load_aggregator.go
@@ -10,58 +10,101 @@
 	"auburnscale/peer"
 )
 
-// loadReportTTL is how long an entry instance's load report counts without being
-// renewed.
+// loadReportTTL is how long an instance's load report counts without being renewed.
 const loadReportTTL = time.Second
 
-// A LoadAggregator holds the load of each entry instance, as last reported to
-// this control instance: the tokens and requests in flight by target. It is safe
-// for concurrent use.
+// A LoadAggregator holds the load that is in flight by target: of each entry instance
+// that reports to this control instance, and of all those together that report to each
+// other control instance. It is safe for concurrent use.
 type LoadAggregator struct {
 	mutex sync.Mutex
-	// reports holds the latest report by incarnation.
-	reports map[string]loadReport
+	// entries and controls hold the latest report by incarnation.
+	entries  map[string]loadReport
+	controls map[string]loadReport
 }
 
-// A loadReport is the load of one entry instance and when it was received.
+// A loadReport is the load that one instance reported and when it was received.
 type loadReport struct {
 	load []*peer.TargetWork
 	at   time.Duration
 }
 
 // NewLoadAggregator returns an aggregator without reports.
-func NewLoadAggregator() *LoadAggregator { return &LoadAggregator{reports: map[string]loadReport{}} }
+func NewLoadAggregator() *LoadAggregator {
+	return &LoadAggregator{entries: map[string]loadReport{}, controls: map[string]loadReport{}}
+}
 
-// Exchange stores the load of the requesting entry instance and returns the summed
-// load of all others, sorted by target.
+// Exchange stores the load that the requester reports and returns, sorted by target, the
+// summed load of all other entry instances, or for a control instance, of those that
+// report here.
 func (a *LoadAggregator) Exchange(request *peer.ShareRequest) *peer.ShareResponse {
 	now := clock.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.reports[request.Incarnation] = loadReport{request.Work, now}
-	sums := map[string]*peer.TargetWork{}
-	for incarnation, report := range a.reports {
+	sums := loadSums{}
+	if request.Control {
+		a.controls[request.Incarnation] = loadReport{request.Work, now}
+		sums.addAll(a.entries, "", now)
+	} else {
+		a.entries[request.Incarnation] = loadReport{request.Work, now}
+		sums.addAll(a.entries, request.Incarnation, now)
+		sums.addAll(a.controls, "", now)
+	}
+	return &peer.ShareResponse{Work: sums.sorted()}
+}
+
+// Local returns the summed load of the entry instances that report here, sorted by
+// target.
+func (a *LoadAggregator) Local() []*peer.TargetWork {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	sums := loadSums{}
+	sums.addAll(a.entries, "", clock.Now())
+	return sums.sorted()
+}
+
+// SetControl stores the summed load of the entry instances that report to another control
+// instance, given by its address.
+func (a *LoadAggregator) SetControl(address string, load []*peer.TargetWork) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.controls[address] = loadReport{load, clock.Now()}
+}
+
+// loadSums holds summed load by target.
+type loadSums map[string]*peer.TargetWork
+
+// addAll adds the reports, except that of the given incarnation, and removes outdated
+// ones from the map.
+func (s loadSums) addAll(reports map[string]loadReport, except string, now time.Duration) {
+	for incarnation, report := range reports {
 		if now-report.at > loadReportTTL {
-			delete(a.reports, incarnation)
+			delete(reports, incarnation)
 			continue
 		}
-		if incarnation == request.Incarnation {
-			continue
+		if incarnation != except {
+			s.add(report.load)
 		}
-		for _, w := range report.load {
-			sum := sums[w.Target]
-			if sum == nil {
-				sum = &peer.TargetWork{Target: w.Target}
-				sums[w.Target] = sum
-			}
-			sum.Tokens += w.Tokens
-			sum.Requests += w.Requests
+	}
+}
+
+func (s loadSums) add(load []*peer.TargetWork) {
+	for _, w := range load {
+		sum := s[w.Target]
+		if sum == nil {
+			sum = &peer.TargetWork{Target: w.Target}
+			s[w.Target] = sum
 		}
+		sum.Tokens += w.Tokens
+		sum.Requests += w.Requests
 	}
-	response := &peer.ShareResponse{}
-	for _, sum := range sums {
-		response.Work = append(response.Work, sum)
+}
+
+func (s loadSums) sorted() []*peer.TargetWork {
+	list := make([]*peer.TargetWork, 0, len(s))
+	for _, w := range s {
+		list = append(list, w)
 	}
-	slices.SortFunc(response.Work, func(a, b *peer.TargetWork) int { return cmp.Compare(a.Target, b.Target) })
-	return response
+	slices.SortFunc(list, func(a, b *peer.TargetWork) int { return cmp.Compare(a.Target, b.Target) })
+	return list
 }
--- a/watch/load_exchanger.go
+++ b/watch/load_exchanger.go
@@ -1,11 +1,14 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"auburnscale/clock"
 	"auburnscale/peer"
 )
@@ -15,10 +18,14 @@
 	// is about the time that the prefill of a prompt takes.
 	minExchangeInterval = 80 * time.Millisecond
 	// exchangeIntervalPerEntry lengthens the interval with the number of entry
-	// instances, which bounds the request rate at the control instance that
-	// aggregates the load of a large fleet.
+	// instances that report to the same control instance, which bounds its request
+	// rate.
 	exchangeIntervalPerEntry = 4 * time.Millisecond
 	exchangeTimeout          = 300 * time.Millisecond
+	// maxSharedEntries is the largest number of entry instances that all report to one
+	// control instance. In a larger fleet each reports to one in its failure domain, and
+	// the control instances exchange sums.
+	maxSharedEntries = 60
 	// exchangeBackoff is how long a control instance that did not respond is
 	// skipped in favor of the next one.
 	exchangeBackoff = 2 * time.Second
@@ -37,11 +44,12 @@
 }
 
 // A LoadExchanger periodically exchanges an entry instance's load with the other
-// entry instances. All of them use the same control instance as long as they can
-// reach it.
+// entry instances. In a small fleet all of them use the same control instance as long as
+// they can reach it, in a large one those of a failure domain.
 type LoadExchanger struct {
 	incarnation string
-	addresses   func() []string
+	domain      string
+	controls    Controls
 	dialer      Dialer
 	source      LoadSource
 	// backoffUntil is, by address, when a control instance that did not respond
@@ -53,11 +61,18 @@
 	stopOnce sync.Once
 }
 
-// NewLoadExchanger returns an exchanger over the control instances' peer
-// addresses.
-func NewLoadExchanger(incarnation string, addresses func() []string, dialer Dialer, source LoadSource) *LoadExchanger {
+// Controls gives the control instances that are known.
+type Controls interface {
+	// Addresses returns their peer addresses.
+	Addresses() []string
+	// Domains returns the failure domains, by peer address, of those that responded.
+	Domains() map[string]string
+}
+
+// NewLoadExchanger returns an exchanger of an entry instance in the failure domain.
+func NewLoadExchanger(incarnation, domain string, controls Controls, dialer Dialer, source LoadSource) *LoadExchanger {
 	return &LoadExchanger{
-		incarnation: incarnation, addresses: addresses, dialer: dialer, source: source, backoffUntil: map[string]time.Duration{},
+		incarnation: incarnation, domain: domain, controls: controls, dialer: dialer, source: source, backoffUntil: map[string]time.Duration{},
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
 }
@@ -78,17 +93,33 @@
 		select {
 		case <-e.stop:
 			return
-		case <-time.After(exchangeInterval(e.source.Entries())):
+		case <-time.After(exchangeInterval(e.source.Entries(), e.domains())):
 		}
 	}
 }
 
+// reportsByDomain reports whether the entry instances of a fleet with that many report to
+// control instances of their own failure domain.
+func reportsByDomain(entries int) bool { return entries > maxSharedEntries }
+
 // exchangeInterval returns the time between two exchanges in a fleet with the
-// given number of entry instances.
-func exchangeInterval(entries int) time.Duration {
+// given number of entry instances and of failure domains that have a control instance.
+func exchangeInterval(entries, domains int) time.Duration {
+	if reportsByDomain(entries) {
+		entries = (entries + domains - 1) / max(1, domains)
+	}
 	return max(minExchangeInterval, time.Duration(entries)*exchangeIntervalPerEntry)
 }
 
+// domains returns the number of failure domains that have a control instance.
+func (e *LoadExchanger) domains() int {
+	distinct := map[string]bool{}
+	for _, domain := range e.controls.Domains() {
+		distinct[domain] = true
+	}
+	return max(1, len(distinct))
+}
+
 // exchange sends the load of this instance and takes the load of the others, or
 // nil if no control instance responded.
 func (e *LoadExchanger) exchange() {
@@ -109,15 +140,33 @@
 	e.source.SetOtherLoad(response.Work)
 }
 
-// chooseAddress returns the first address, in sorted order, that is not in
-// backoff, or an empty string.
+// chooseAddress returns the first address that is not in backoff, or an empty string.
 func (e *LoadExchanger) chooseAddress(now time.Duration) string {
-	addresses := e.addresses()
-	slices.Sort(addresses)
-	for _, a := range addresses {
+	for _, a := range e.preferredAddresses() {
 		if now > e.backoffUntil[a] {
 			return a
 		}
 	}
 	return ""
 }
+
+// preferredAddresses returns the control instances' addresses in the order in which they
+// are tried. In a large fleet those of the own failure domain come first; the order of the
+// others differs by domain, so that the entry instances of a domain that has no control
+// instance left stay together, and those of several such domains do not.
+func (e *LoadExchanger) preferredAddresses() []string {
+	addresses := e.controls.Addresses()
+	slices.Sort(addresses)
+	if !reportsByDomain(e.source.Entries()) {
+		return addresses
+	}
+	domains := e.controls.Domains()
+	rank := func(address string) uint64 {
+		if domains[address] == e.domain {
+			return 0
+		}
+		return xxhash.Sum64String(e.domain + address)
+	}
+	slices.SortStableFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return addresses
+}
--- a/watch/server.go
+++ b/watch/server.go
@@ -283,6 +283,13 @@
 	return count
 }
 
+// Entries returns the number of live entry instances.
+func (s *Server) Entries() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return int(s.entriesLocked())
+}
+
 // medianTimeLocked returns the median of the wall clocks of the live instances
 // and this one, so that a few clocks that stepped do not affect it.
 func (s *Server) medianTimeLocked() time.Duration {
