Learn the prefill rates from few observations

Cause: the average rate started at 45,000 tokens a second with a weight of 0.03 for each observation; an entry of a large fleet sees one prefill a second, so that it placed and refused by a rate that was too high for half a minute. Change: the initial rate stands for four observations; later ones count as before. Before: TestRateIsLearnedFromFewPrefills fails (40,000 after ten prefills at 20,000). After: passes.

--- a/route/place.go
+++ b/route/place.go
@@ -71,8 +71,12 @@
 	initialRate = 45_000
 	// minSampleTokens is the size of the smallest prefill that updates the rate.
 	minSampleTokens = 500
-	// rateSmoothing is the weight of one observation in the moving average.
+	// rateSmoothing is the weight of one observation in the moving average, once there
+	// are many.
 	rateSmoothing = 0.03
+	// initialRateWeight is the number of observations that the initial rate stands for.
+	// An instance of a large fleet sees few prefills, so the first ones count for more.
+	initialRateWeight = 4
 	// minPrefillRate and maxPrefillRate, in tokens per second, bound each
 	// observation, so that one outlier cannot distort the average.
 	minPrefillRate = 2_000
@@ -324,24 +328,38 @@
 // per second. It is safe for concurrent use.
 type Rates struct {
 	mutex          sync.Mutex
-	prefill, mixed float64
+	prefill, mixed rateAverage
+}
+
+// A rateAverage is a moving average with the number of observations in it.
+type rateAverage struct {
+	rate         float64
+	observations int
+}
+
+// add adds an observation.
+func (a *rateAverage) add(rate float64) {
+	a.observations++
+	a.rate += max(rateSmoothing, 1/float64(initialRateWeight+a.observations)) * (rate - a.rate)
 }
 
 // NewRates returns the initial rates, before any observation.
-func NewRates() *Rates { return &Rates{prefill: initialRate, mixed: initialRate * mixedFactor} }
+func NewRates() *Rates {
+	return &Rates{prefill: rateAverage{rate: initialRate}, mixed: rateAverage{rate: initialRate * mixedFactor}}
+}
 
 // PrefillOnly returns the rate of a prefill target.
 func (r *Rates) PrefillOnly() float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.prefill
+	return r.prefill.rate
 }
 
 // Mixed returns the prefill rate of a target that also decodes.
 func (r *Rates) Mixed() float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.mixed
+	return r.mixed.rate
 }
 
 // Observe updates a rate with one prefill: the number of tokens, including those
@@ -357,5 +375,5 @@
 	if prefillOnly {
 		known = &r.prefill
 	}
-	*known += rateSmoothing * (rate - *known)
+	known.add(rate)
 }
--- a/route/place_test.go
+++ b/route/place_test.go
@@ -263,3 +263,15 @@
 	f.targets[2].RecordDecline(now)
 	require.NotEqual(t, "run2", placer.Place(f, Prompt{}, nil, now).DecodeTarget.Name(), "a target that declined is in backoff even as the last resort")
 }
+
+// TestRateIsLearnedFromFewPrefills checks that ten prefills, which an entry instance of a
+// fleet of hundreds sees in ten seconds, correct an initial rate that is far off. Load
+// pattern: a large fleet in its first seconds, when nothing is cached.
+func TestRateIsLearnedFromFewPrefills(t *testing.T) {
+	rates := NewRates()
+	for range 10 {
+		rates.Observe(10_000, 500*time.Millisecond, true)
+	}
+	require.Less(t, rates.PrefillOnly(), 30_000.0, "20,000 tokens a second were observed")
+	require.InDelta(t, initialRate*mixedFactor, rates.Mixed(), 1)
+}
