--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -28,7 +28,9 @@
 	mutex    sync.Mutex
 	targets  map[string]*knownTarget
 	services map[string]*serviceState
-	fleets   atomic.Pointer[map[string]*route.Fleet]
+	// heldBlocks holds the prompt blocks to be reported to the other instances.
+	heldBlocks []*peer.HeldBlock
+	fleets     atomic.Pointer[map[string]*route.Fleet]
 }
 
 // A LeavingRecorder takes note of targets that are about to end.
@@ -246,12 +248,41 @@
 	}
 }
 
-// AddPrefix records that the target holds the KV cache of the prompt blocks.
+// AddPrefix records that the target holds the KV cache of the prompt blocks, to be
+// reported to the other instances.
 func (f *Fleets) AddPrefix(service string, t *route.Target, blocks []uint64) {
 	f.mutex.Lock()
-	index := f.state(service).index
-	f.mutex.Unlock()
-	index.Add(t, blocks)
+	defer f.mutex.Unlock()
+	for _, block := range f.state(service).index.Add(t, blocks) {
+		if len(f.heldBlocks) < maxUnreportedBlocks {
+			f.heldBlocks = append(f.heldBlocks, &peer.HeldBlock{Block: block, Target: t.Name(), BornMs: t.Incarnation()})
+		}
+	}
+}
+
+// maxUnreportedBlocks bounds the blocks that wait to be reported.
+const maxUnreportedBlocks = 1024
+
+// TakeHeldBlocks returns the prompt blocks that this instance saw targets hold since the
+// last call.
+func (f *Fleets) TakeHeldBlocks() []*peer.HeldBlock {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	list := f.heldBlocks
+	f.heldBlocks = nil
+	return list
+}
+
+// AddHeldBlocks records the prompt blocks that other instances saw targets hold. Blocks of
+// unknown targets, and of other incarnations than the known one, are ignored.
+func (f *Fleets) AddHeldBlocks(blocks []*peer.HeldBlock) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, b := range blocks {
+		if k := f.targets[b.Target]; k != nil && k.row.BornMs == b.BornMs {
+			f.state(k.row.Service).index.Add(k.target, []uint64{b.Block})
+		}
+	}
 }
 
 // OwnLoad returns what this instance has in flight on each target, to be reported
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -35,23 +35,29 @@
 	return &PrefixIndex{limit: limit, young: map[uint64][]*Target{}, old: map[uint64][]*Target{}}
 }
 
-// Add records that the target holds the blocks.
-func (x *PrefixIndex) Add(t *Target, blocks []uint64) {
+// Add records that the target holds the blocks. It returns those that it was not expected
+// to hold.
+func (x *PrefixIndex) Add(t *Target, blocks []uint64) (added []uint64) {
 	if len(blocks) == 0 {
-		return
+		return nil
 	}
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	for _, block := range blocks {
-		x.addLocked(t, block)
+		if x.addLocked(t, block) {
+			added = append(added, block)
+		}
 	}
+	return added
 }
 
-func (x *PrefixIndex) addLocked(t *Target, block uint64) {
+// addLocked reports whether the target was not expected to hold the block.
+func (x *PrefixIndex) addLocked(t *Target, block uint64) bool {
 	list := x.lookup(block)
-	if slices.Contains(list, t) {
+	known := slices.Contains(list, t)
+	if known {
 		if _, young := x.young[block]; young {
-			return
+			return false
 		}
 	} else {
 		// The list is replaced, not modified, because callers use it without the lock.
@@ -62,6 +68,7 @@
 		x.young = make(map[uint64][]*Target, x.limit/4)
 	}
 	x.young[block] = list
+	return !known
 }
 
 func (x *PrefixIndex) lookup(block uint64) []*Target {
--- a/serve/control.go
+++ b/serve/control.go
@@ -145,7 +145,7 @@
 	}, c.folder, c.senders, c.logger)
 	c.roster = roster.New(clock.Now, missedHeartbeatLimit*f.HeartbeatInterval.AsDuration())
 	c.watchServer = watch.NewServer(c.incarnation, c.voter, c.roster)
-	c.loadAggregator = watch.NewLoadAggregator()
+	c.loadAggregator = watch.NewLoadAggregator(c.incarnation)
 	c.watchClient = watch.NewClient(self.Address, c.outboundClients.client, c, c.logger)
 	c.loadMesh = watch.NewLoadMesh(self.Address, c.loadAggregator, c.watchClient.Addresses, c.watchServer.Entries, c.outboundClients.client)
 	c.replicaManager = replica.New(replica.Config{Self: self, DesiredVoters: 2*f.ToleratedLosses + 1, ControlAddresses: c.watchClient.Addresses, ReportedMembers: c.watchClient.ControlReplicas}, c.voter, c.senders, c.outboundClients.client, c.logger)
--- a/watch/load_aggregator.go
+++ b/watch/load_aggregator.go
@@ -15,9 +15,13 @@
 
 // A LoadAggregator holds the load that is in flight by target: of each entry instance
 // that reports to this control instance, and of all those together that report to each
-// other control instance. It is safe for concurrent use.
+// other control instance. It also lists the prompt blocks that targets hold, as reported by
+// them. It is safe for concurrent use.
 type LoadAggregator struct {
+	incarnation string
+
 	mutex sync.Mutex
+	held  heldBlocks
 	// entries and controls hold the latest report by incarnation.
 	entries  map[string]loadReport
 	controls map[string]loadReport
@@ -29,14 +33,15 @@
 	at   time.Duration
 }
 
-// NewLoadAggregator returns an aggregator without reports.
-func NewLoadAggregator() *LoadAggregator {
-	return &LoadAggregator{entries: map[string]loadReport{}, controls: map[string]loadReport{}}
+// NewLoadAggregator returns an aggregator without reports, for a control instance with the
+// incarnation.
+func NewLoadAggregator(incarnation string) *LoadAggregator {
+	return &LoadAggregator{incarnation: incarnation, held: newHeldBlocks(), entries: map[string]loadReport{}, controls: map[string]loadReport{}}
 }
 
-// Exchange stores the load that the requester reports and returns, sorted by target, the
-// summed load of all other entry instances, or for a control instance, of those that
-// report here.
+// Exchange stores what the requester reports and returns the summed load, sorted by target,
+// of all other entry instances, or for a control instance, of those that report here. It
+// also returns the held blocks that the requester lacks.
 func (a *LoadAggregator) Exchange(request *peer.ShareRequest) *peer.ShareResponse {
 	now := clock.Now()
 	a.mutex.Lock()
@@ -50,25 +55,35 @@
 		sums.addAll(a.entries, request.Incarnation, now)
 		sums.addAll(a.controls, "", now)
 	}
-	return &peer.ShareResponse{Work: sums.sorted()}
+	seen := request.Seen
+	if request.Server != a.incarnation {
+		seen = 0
+	}
+	a.held.add(request.Held, request.Incarnation, !request.Control)
+	response := &peer.ShareResponse{Work: sums.sorted(), Server: a.incarnation}
+	response.Held, response.Seen = a.held.since(seen, request.Incarnation, request.Control)
+	return response
 }
 
 // Local returns the summed load of the entry instances that report here, sorted by
-// target.
-func (a *LoadAggregator) Local() []*peer.TargetWork {
+// target, and the held blocks that they reported from the position on, with the position
+// after them.
+func (a *LoadAggregator) Local(position uint64) ([]*peer.TargetWork, []*peer.HeldBlock, uint64) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	sums := loadSums{}
 	sums.addAll(a.entries, "", clock.Now())
-	return sums.sorted()
+	held, next := a.held.since(position, "", true)
+	return sums.sorted(), held, next
 }
 
-// SetControl stores the summed load of the entry instances that report to another control
-// instance, given by its address.
-func (a *LoadAggregator) SetControl(address string, load []*peer.TargetWork) {
+// SetControl stores what another control instance, given by its address, reported of the
+// entry instances that report to it.
+func (a *LoadAggregator) SetControl(address string, load []*peer.TargetWork, held []*peer.HeldBlock) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.controls[address] = loadReport{load, clock.Now()}
+	a.held.add(held, address, false)
 }
 
 // loadSums holds summed load by target.
--- a/watch/load_exchanger.go
+++ b/watch/load_exchanger.go
@@ -39,6 +39,11 @@
 	// SetOtherLoad takes the load that all other entry instances have in flight, or
 	// nil if it is unknown.
 	SetOtherLoad([]*peer.TargetWork)
+	// TakeHeldBlocks returns the prompt blocks that this instance saw targets hold since
+	// the last call.
+	TakeHeldBlocks() []*peer.HeldBlock
+	// AddHeldBlocks takes the blocks that other instances saw targets hold.
+	AddHeldBlocks([]*peer.HeldBlock)
 	// Entries returns the number of entry instances.
 	Entries() int
 }
@@ -55,6 +60,11 @@
 	// backoffUntil is, by address, when a control instance that did not respond
 	// is used again, on clock.Now.
 	backoffUntil map[string]time.Duration
+	// unsent holds the blocks that no control instance has received yet. server and seen
+	// are those of the last response.
+	unsent []*peer.HeldBlock
+	server string
+	seen   uint64
 
 	stop     chan struct{}
 	done     chan struct{}
@@ -121,8 +131,10 @@
 }
 
 // exchange sends the load of this instance and takes the load of the others, or
-// nil if no control instance responded.
+// nil if no control instance responded. It exchanges new held blocks as well.
 func (e *LoadExchanger) exchange() {
+	e.unsent = append(e.unsent, e.source.TakeHeldBlocks()...)
+	e.unsent = e.unsent[max(0, len(e.unsent)-maxHeldPerExchange):]
 	address := e.chooseAddress(clock.Now())
 	if address == "" {
 		e.source.SetOtherLoad(nil)
@@ -130,14 +142,18 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
-	response, err := e.dialer.Peer(address).Share(ctx, &peer.ShareRequest{Incarnation: e.incarnation, Work: e.source.OwnLoad()})
+	response, err := e.dialer.Peer(address).Share(ctx, &peer.ShareRequest{
+		Incarnation: e.incarnation, Work: e.source.OwnLoad(), Held: e.unsent, Server: e.server, Seen: e.seen,
+	})
 	if err != nil {
 		// The watch client, which polls the same instance, logs the failure.
 		e.backoffUntil[address] = clock.Now() + exchangeBackoff
 		e.source.SetOtherLoad(nil)
 		return
 	}
+	e.unsent, e.server, e.seen = nil, response.Server, response.Seen
 	e.source.SetOtherLoad(response.Work)
+	e.source.AddHeldBlocks(response.Held)
 }
 
 // chooseAddress returns the first address that is not in backoff, or an empty string.
--- a/watch/load_mesh.go
+++ b/watch/load_mesh.go
@@ -13,7 +13,7 @@
 const meshInterval = 100 * time.Millisecond
 
 // A LoadMesh exchanges the summed load of the entry instances that report to this control
-// instance with the other control instances, in a fleet in which entry instances report by
+// instance, and the prompt blocks that targets hold, with the other control instances, in a fleet in which entry instances report by
 // failure domain. Of two control instances, the one with the lower address asks.
 type LoadMesh struct {
 	self       string
@@ -21,6 +21,8 @@
 	addresses  func() []string
 	entries    func() int
 	dialer     Dialer
+	// positions is, by address, how far the exchanges with a control instance have come.
+	positions map[string]*meshPosition
 
 	stop     chan struct{}
 	done     chan struct{}
@@ -32,7 +34,7 @@
 // entry instances.
 func NewLoadMesh(self string, aggregator *LoadAggregator, addresses func() []string, entries func() int, dialer Dialer) *LoadMesh {
 	return &LoadMesh{
-		self: self, aggregator: aggregator, addresses: addresses, entries: entries, dialer: dialer,
+		self: self, aggregator: aggregator, addresses: addresses, entries: entries, dialer: dialer, positions: map[string]*meshPosition{},
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
 }
@@ -60,40 +62,60 @@
 	}
 }
 
-// exchange asks the other control instances for their load, all at once.
+// A meshPosition is how far the exchange of held blocks with a control instance has come:
+// the own position after what it received, and its incarnation and position after what it
+// sent.
+type meshPosition struct {
+	sent   uint64
+	server string
+	seen   uint64
+}
+
+// exchange exchanges load and held blocks with the other control instances, all at once.
 func (m *LoadMesh) exchange() {
 	if !reportsByDomain(m.entries()) {
 		return
 	}
-	request := &peer.ShareRequest{Incarnation: m.self, Control: true, Work: m.aggregator.Local()}
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
 	var group sync.WaitGroup
 	for _, address := range m.addresses() {
-		if address > m.self {
-			group.Add(1)
-			a := &meshExchange{mesh: m, address: address, request: request, group: &group}
-			go a.run(ctx)
+		if address <= m.self {
+			continue
 		}
+		if m.positions[address] == nil {
+			m.positions[address] = &meshPosition{}
+		}
+		group.Add(1)
+		a := &meshExchange{mesh: m, address: address, position: m.positions[address], group: &group}
+		go a.run(ctx)
 	}
 	group.Wait()
 }
 
 // A meshExchange is one exchange with one control instance.
 type meshExchange struct {
-	mesh    *LoadMesh
-	address string
-	request *peer.ShareRequest
-	group   *sync.WaitGroup
+	mesh     *LoadMesh
+	address  string
+	position *meshPosition
+	group    *sync.WaitGroup
 }
 
 func (e *meshExchange) run(ctx context.Context) {
 	defer e.group.Done()
-	response, err := e.mesh.dialer.Peer(e.address).Share(ctx, e.request)
+	request := &peer.ShareRequest{Incarnation: e.mesh.self, Control: true, Server: e.position.server, Seen: e.position.seen}
+	next := uint64(0)
+	request.Work, request.Held, next = e.mesh.aggregator.Local(e.position.sent)
+	response, err := e.mesh.dialer.Peer(e.address).Share(ctx, request)
 	if err != nil {
 		// The watch client, which polls the same instance, logs the failure. The load
 		// reported last stops counting after loadReportTTL.
 		return
 	}
-	e.mesh.aggregator.SetControl(e.address, response.Work)
+	if response.Server != e.position.server {
+		// A control instance that has started lacks what was sent to the one before.
+		next = 0
+	}
+	e.position.sent, e.position.server, e.position.seen = next, response.Server, response.Seen
+	e.mesh.aggregator.SetControl(e.address, response.Work, response.Held)
 }
--- a/watch/load_mesh_test.go
+++ b/watch/load_mesh_test.go
@@ -36,7 +36,7 @@
 	dialer := sharingDialer{}
 	var meshes []*LoadMesh
 	for _, address := range dialer.addresses() {
-		dialer[address] = &sharingControl{aggregator: NewLoadAggregator()}
+		dialer[address] = &sharingControl{aggregator: NewLoadAggregator("c")}
 		meshes = append(meshes, NewLoadMesh(address, dialer[address].aggregator, dialer.addresses, func() int { return 300 }, dialer))
 	}
 	report(dialer["a"].aggregator, "e1", 1)
@@ -54,7 +54,7 @@
 // TestMeshRestsInASmallFleet checks that control instances exchange nothing while all
 // entry instances report to the same one.
 func TestMeshRestsInASmallFleet(t *testing.T) {
-	dialer := sharingDialer{"a": {aggregator: NewLoadAggregator()}, "b": {aggregator: NewLoadAggregator()}, "c": {aggregator: NewLoadAggregator()}}
+	dialer := sharingDialer{"a": {aggregator: NewLoadAggregator("c")}, "b": {aggregator: NewLoadAggregator("c")}, "c": {aggregator: NewLoadAggregator("c")}}
 	report(dialer["a"].aggregator, "e1", 1)
 	NewLoadMesh("a", dialer["a"].aggregator, dialer.addresses, func() int { return maxSharedEntries }, dialer).exchange()
 	require.Empty(t, dialer["b"].aggregator.controls)
@@ -65,6 +65,8 @@
 
 func (fleetLoad) OwnLoad() []*peer.TargetWork       { return nil }
 func (fleetLoad) SetOtherLoad(_ []*peer.TargetWork) {}
+func (fleetLoad) TakeHeldBlocks() []*peer.HeldBlock { return nil }
+func (fleetLoad) AddHeldBlocks([]*peer.HeldBlock)   {}
 func (l fleetLoad) Entries() int                    { return l.entries }
 
 // domainControls are control instances by address with their failure domains.
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -129,7 +129,7 @@
 }
 
 func TestAggregatorSumsOtherEntries(t *testing.T) {
-	aggregator := NewLoadAggregator()
+	aggregator := NewLoadAggregator("c")
 	exchange := func(incarnation string, tokens int64) *peer.ShareResponse {
 		return aggregator.Exchange(&peer.ShareRequest{Incarnation: incarnation, Work: []*peer.TargetWork{{Target: "t", Tokens: tokens, Requests: 1}}})
 	}
