Share the blocks of prefill targets only, and count work as before

Counting blocks of which an instance has not heard as work made the home targets look busier than they were.

--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -249,12 +249,13 @@
 }
 
 // AddPrefix records that the target holds the KV cache of the prompt blocks, to be
-// reported to the other instances.
+// reported to the other instances if it is a prefill target. Prompts that many instances
+// sent to a decode target for its cache would delay the streams there.
 func (f *Fleets) AddPrefix(service string, t *route.Target, blocks []uint64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, block := range f.state(service).index.Add(t, blocks) {
-		if len(f.heldBlocks) < maxUnreportedBlocks {
+		if !t.Decodes() && len(f.heldBlocks) < maxUnreportedBlocks {
 			f.heldBlocks = append(f.heldBlocks, &peer.HeldBlock{Block: block, Target: t.Name(), BornMs: t.Incarnation()})
 		}
 	}
--- a/route/place.go
+++ b/route/place.go
@@ -26,12 +26,10 @@
 	// PrefillTarget, if not nil, prefills the prompt first; its KV cache is then
 	// transferred to DecodeTarget. If it is nil, DecodeTarget prefills as well.
 	PrefillTarget *Target
-	// FirstEvent is the estimated time to the first event of the response. It assumes that
-	// a home target holds shared blocks of which this instance has not heard yet, so that a
-	// request is not refused for that.
+	// FirstEvent is the estimated time to the first event of the response.
 	FirstEvent time.Duration
-	// PrefillTokens is the number of prompt tokens that the target which prefills is not
-	// known to have in its cache.
+	// PrefillTokens is the number of prompt tokens that the target which prefills
+	// is not expected to have in its cache.
 	PrefillTokens int64
 	// queuedTokens is the number of tokens that the target prefills before this
 	// prompt. rates holds the averages that Observe updates.
@@ -180,7 +178,7 @@
 	rate := f.rates.Mixed()
 	first := prefillTime(t.backlog()+uncached, rate) + p.occupancyCost(f, t, now)
 	cost := first + repeatedPrefillCost(uncached, prompt, rate) + t.interference(prefillTime(uncached, rate), now)
-	return Placement{DecodeTarget: t, FirstEvent: first, PrefillTokens: f.uncachedTokens(t, prompt, 0), queuedTokens: t.backlog(), rates: f.rates, cost: cost}
+	return Placement{DecodeTarget: t, FirstEvent: first, PrefillTokens: uncached, queuedTokens: t.backlog(), rates: f.rates, cost: cost}
 }
 
 // interference returns the cost of a prefill of that duration for the requests on
@@ -209,7 +207,7 @@
 		first += silentPenalty
 	}
 	return Placement{
-		DecodeTarget: decoder.target, PrefillTarget: prefillTarget, FirstEvent: first, PrefillTokens: f.uncachedTokens(prefillTarget, prompt, 0), queuedTokens: prefillTarget.backlog(), rates: f.rates,
+		DecodeTarget: decoder.target, PrefillTarget: prefillTarget, FirstEvent: first, PrefillTokens: uncached, queuedTokens: prefillTarget.backlog(), rates: f.rates,
 		cost: first + repeatedPrefillCost(uncached, prompt, f.rates.PrefillOnly()),
 	}
 }
