Wake polling instances for the second crash under a request, not for each first one

Cause: each new crash under a request woke every polling instance at once. When a quarter of the engines crash under load there are a hundred such reports within a second, of which nearly all are the only one for their request: 100 reports gave 11,176 responses in 1.2 s at one control instance with 300 polling. Change: a count wakes the others when it grows to two or more, so that the third target is not reached; a first crash travels with the next poll. Before: TestManyCrashesInALargeFleet as above. After: below 1,200 responses a second.

--- a/watch/large_fleet_test.go
+++ b/watch/large_fleet_test.go
@@ -41,6 +41,51 @@
 	}
 }
 
+// startPollers starts instances that poll the server, waits for the first response to each
+// and returns the count of responses. stop ends the pollers.
+func startPollers(t *testing.T, s *Server, instances int64) (responses *atomic.Int64, stop func()) {
+	responses = &atomic.Int64{}
+	ended := make(chan struct{})
+	var group sync.WaitGroup
+	for n := range instances {
+		group.Add(1)
+		go (&poller{s, fmt.Sprint("e", n), responses, ended, &group}).run()
+	}
+	require.Eventually(t, func() bool { return responses.Load() >= instances }, 20*time.Second, time.Millisecond)
+	return responses, func() { close(ended); group.Wait() }
+}
+
+// TestManyCrashesInALargeFleet lets a quarter of the targets crash under a request each
+// while hundreds of instances poll. A first crash under a request is no reason to wake all
+// of them; the second under the same request is.
+func TestManyCrashesInALargeFleet(t *testing.T) {
+	const instances, crashes, maxPerSecond = 300, 100, 1200
+	s, _, _ := newServer(t)
+	responses, stop := startPollers(t, s, instances)
+	defer stop()
+	crash := func(reporter string, fingerprint uint64) {
+		request := newRequest(reporter)
+		request.Suspicions = []*peer.Suspicion{{Fingerprint: fingerprint, Crashes: 1}}
+		s.recordRequest(request)
+	}
+	before, began := responses.Load(), time.Now()
+	for i := range uint64(crashes) {
+		crash("x", i)
+		time.Sleep(10 * time.Millisecond)
+	}
+	got, seconds := responses.Load()-before, time.Since(began).Seconds()
+	require.Less(t, float64(got), maxPerSecond*seconds, "%d responses in %.1f s", got, seconds)
+	s.mutex.Lock()
+	woken := s.suspicionsChanged
+	s.mutex.Unlock()
+	crash("y", 1)
+	select {
+	case <-woken:
+	default:
+		require.Fail(t, "the second crash under a request must wake the waiting instances")
+	}
+}
+
 // TestManyChangesInALargeFleet replaces targets one after the other, as a release does,
 // while hundreds of instances poll. The responses must be bounded by the number of
 // instances and the time, not by the number of changes times the number of instances:
@@ -51,22 +96,14 @@
 	for n := range 160 {
 		r.UpdateTarget(targetRow(n, 1))
 	}
-	stop := make(chan struct{})
-	var responses atomic.Int64
-	var group sync.WaitGroup
-	for n := range instances {
-		group.Add(1)
-		go (&poller{s, fmt.Sprint("e", n), &responses, stop, &group}).run()
-	}
-	require.Eventually(t, func() bool { return responses.Load() >= instances }, 20*time.Second, time.Millisecond)
+	responses, stop := startPollers(t, s, instances)
 	before, began := responses.Load(), time.Now()
 	for i := range changes {
 		r.UpdateTarget(targetRow(i%160, uint64(2+i)))
 		time.Sleep(10 * time.Millisecond)
 	}
 	got, seconds := responses.Load()-before, time.Since(began).Seconds()
-	close(stop)
-	group.Wait()
+	stop()
 	require.Less(t, float64(got), maxPerSecond*seconds, "%d responses in %.1f s", got, seconds)
 	require.GreaterOrEqual(t, got, int64(instances), "every instance hears of the changes")
 }
--- a/watch/server.go
+++ b/watch/server.go
@@ -58,6 +58,10 @@
 	watcherTimeout = 5 * time.Second
 	// suspicionTTL is how long a suspicion is distributed after its latest report.
 	suspicionTTL = 60 * time.Second
+	// urgentCrashes is the number of crashes under a request from which all instances are
+	// told at once. Most requests under which one target crashed have not caused it, and
+	// there are many of them when targets crash.
+	urgentCrashes = 2
 	// maxSuspicions is the maximum number of request fingerprints with suspicions.
 	maxSuspicions = 4096
 )
@@ -144,7 +148,7 @@
 }
 
 // recordSuspicions stores the crash reports of a request and wakes waiting
-// requests if a count changed.
+// requests if a count grew to urgentCrashes or more.
 func (s *Server) recordSuspicions(request *peer.WatchRequest, now time.Duration) {
 	changed := false
 	for _, each := range request.Suspicions {
@@ -156,8 +160,9 @@
 			bySource = map[string]crashReport{}
 			s.suspicions[each.Fingerprint] = bySource
 		}
-		changed = changed || bySource[request.Incarnation].crashes != each.Crashes
+		grown := each.Crashes > bySource[request.Incarnation].crashes
 		bySource[request.Incarnation] = crashReport{each.Crashes, now - time.Duration(each.AgeMs)*time.Millisecond}
+		changed = changed || grown && crashesOf(bySource) >= urgentCrashes
 	}
 	if changed {
 		close(s.suspicionsChanged)
@@ -165,6 +170,14 @@
 	}
 }
 
+// crashesOf returns the number of crashes in the reports.
+func crashesOf(reports map[string]crashReport) (crashes int32) {
+	for _, r := range reports {
+		crashes += r.crashes
+	}
+	return crashes
+}
+
 // waitForChange returns when there is state that the requester lacks, after
 // the hold, or at once if its revision belongs to another incarnation.
 func (s *Server) waitForChange(ctx context.Context, request *peer.WatchRequest) {
