Name the prompt blocks in the log lines of failed and served requests

Change: target_broke, and request_served, have fingerprint, blocks (eight ids at most) and block_count; target_broke also incarnation, not_sent and streamed_ms. Conclusion: with these lines a block that is in flight at every crash and never served can be read off.

--- a/event/event.go
+++ b/event/event.go
@@ -70,7 +70,7 @@
 	RequestRefused        = define(511, "request_refused", zapcore.WarnLevel, "a request was answered with an error of this system; not_run tells whether it is certain that no target started it")
 	RequestCancelled      = define(512, "request_cancelled", zapcore.InfoLevel, "the caller disconnected; the request was cancelled on the target")
 	StreamCut             = define(513, "stream_cut", zapcore.WarnLevel, "a stream was interrupted and could not continue from another target; the caller's connection was closed")
-	TargetFailed          = define(514, "target_broke", zapcore.WarnLevel, "a request to a target failed")
+	TargetFailed          = define(514, "target_broke", zapcore.WarnLevel, "a request to a target failed; blocks are the first ids of the prompt blocks that other requests may share, streamed_ms is how long the response had been arriving, not_sent tells that the target got nothing of the request")
 	TargetDeclined        = define(515, "target_declined", zapcore.InfoLevel, "a target reported that it did not execute the request")
 	TargetUpdated         = define(407, "target_heard", zapcore.InfoLevel, "a target sent its first heartbeat or its state changed")
 	DomainUnreachable     = define(408, "domain_silent", zapcore.WarnLevel, "targets of another failure domain did not answer connection attempts; all of its targets are avoided for rest_ms")
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -256,6 +256,14 @@
 	c.server.deps.Runs.Count(c.workspaceName())
 }
 
+// streamedFor returns the time since the first event of the response, 0 if there was none.
+func (c *call) streamedFor() time.Duration {
+	if !c.counted {
+		return 0
+	}
+	return time.Since(c.arrived) - c.firstEventAfter
+}
+
 // request returns the request to send to a target.
 func (c *call) request(d Dispatch) *exchange.Request {
 	d.Workspace = c.workspaceName()
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -99,15 +99,32 @@
 }
 
 func newFixture(t *testing.T, targets int) *fixture {
-	return newFixtureWithBudget(t, targets, retry.NewBudgetShare(1, 100, time.Minute))
+	return newFixtureWith(t, targets, fixtureOptions{})
 }
 
 // newFixtureWithBudget returns a fixture whose gateway uses the retry budget.
 func newFixtureWithBudget(t *testing.T, targets int, budget *retry.BudgetShare) *fixture {
+	return newFixtureWith(t, targets, fixtureOptions{budget: budget})
+}
+
+// fixtureOptions are the dependencies of the gateway that a test chooses. The others have
+// defaults.
+type fixtureOptions struct {
+	budget *retry.BudgetShare
+	logger *event.Logger
+}
+
+func newFixtureWith(t *testing.T, targets int, o fixtureOptions) *fixture {
+	if o.budget == nil {
+		o.budget = retry.NewBudgetShare(1, 100, time.Minute)
+	}
+	if o.logger == nil {
+		o.logger = event.Nop()
+	}
 	snapshot, findings := catalog.New(configuration())
 	require.NoError(t, findings.Err())
 	f := &fixture{t: t, state: &fakeState{snapshot: snapshot}, runCounter: &fakeRunCounter{map[string]int{}}, roster: roster.New(clock.Now, time.Hour)}
-	f.fleets = gateway.NewFleets("d0", route.Placer{}, f.roster, event.Nop())
+	f.fleets = gateway.NewFleets("d0", route.Placer{}, f.roster, o.logger)
 	for i := range targets {
 		target := standin.NewTarget(fmt.Sprint("e", i))
 		require.NoError(t, target.Listen("127.0.0.1:0"))
@@ -117,7 +134,7 @@
 	}
 	f.server = gateway.New(gateway.Config{RequestAddress: freeAddress(t), ReadinessAddress: freeAddress(t), StopNotice: 10 * time.Millisecond, StopTimeout: waitLimit}, gateway.Dependencies{
 		State: f.state, Codec: platform.HeaderCodec{}, Dialer: exchange.NewDialer(netip.MustParseAddr("127.0.0.1")), Fleets: f.fleets,
-		Budget: budget, Suspects: retry.NewSuspects(), Runs: f.runCounter, Metrics: tally.NoopScope, Logger: event.Nop(),
+		Budget: o.budget, Suspects: retry.NewSuspects(), Runs: f.runCounter, Metrics: tally.NoopScope, Logger: o.logger,
 	})
 	require.NoError(t, f.server.Listen())
 	f.address = f.server.Address()
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"auburnscale/event"
+	"auburnscale/exchange"
 	"auburnscale/route"
 )
 
@@ -29,6 +31,21 @@
 	return append(list, more...)
 }
 
+// maxLoggedBlocks bounds the prompt blocks in a log line.
+const maxLoggedBlocks = 8
+
+// promptFields returns the fields that identify the request's content: its fingerprint,
+// which is the same when a caller sends it again, and the ids of the prompt blocks that
+// other requests may share.
+func (c *call) promptFields() []zap.Field {
+	shared := sharedBlocks(c.info)
+	ids := make([]string, 0, min(len(shared), maxLoggedBlocks))
+	for _, block := range shared[:min(len(shared), maxLoggedBlocks)] {
+		ids = append(ids, strconv.FormatUint(block.ID, 16))
+	}
+	return []zap.Field{zap.String("fingerprint", strconv.FormatUint(c.fingerprint, 16)), zap.Strings("blocks", ids), zap.Int("block_count", len(shared))}
+}
+
 func (s *Server) countOutcome(name string) {
 	s.deps.Metrics.Tagged(map[string]string{"outcome": name}).Counter("requests").Inc(1)
 }
@@ -36,10 +53,10 @@
 func (s *Server) logServed(c *call) {
 	s.countOutcome("served")
 	s.deps.Metrics.Timer("first_event").Record(c.firstEventAfter)
-	s.deps.Logger.Log(event.RequestServed, c.fields(zap.String("target", c.target), zap.String("status", c.status), zap.String("reader", c.prefillTarget),
+	s.deps.Logger.Log(event.RequestServed, c.fields(append(c.promptFields(), zap.String("target", c.target), zap.String("status", c.status), zap.String("reader", c.prefillTarget),
 		zap.Int64("read_ms", c.prefillTime.Milliseconds()), zap.Int64("unread_tokens", c.prefillTokens),
 		zap.Int64("first_ms", c.firstEventAfter.Milliseconds()), zap.Int64("estimate_ms", c.estimatedFirst.Milliseconds()),
-		zap.Int("sends", c.sends), zap.Int("runs", c.runs))...)
+		zap.Int("sends", c.sends), zap.Int("runs", c.runs))...)...)
 }
 
 func (s *Server) logRefusal(c *call, f *failure) {
@@ -65,7 +82,8 @@
 }
 
 func (s *Server) logTargetFailed(c *call, t *route.Target, err error) {
-	s.deps.Logger.Log(event.TargetFailed, c.fields(zap.String("target", t.Name()), zap.String("address", t.Address()), zap.Error(err))...)
+	s.deps.Logger.Log(event.TargetFailed, c.fields(append(c.promptFields(), zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()),
+		zap.String("address", t.Address()), zap.Bool("not_sent", exchange.NotSent(err)), zap.Int64("streamed_ms", c.streamedFor().Milliseconds()), zap.Error(err))...)...)
 }
 
 func (s *Server) logDeclined(c *call, t *route.Target, info ResponseInfo) {
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -124,9 +124,12 @@
 	return h.Sum64()
 }
 
+// sharedBlocks returns the blocks of the prompt that other requests may share: all but
+// the last, which belongs to the request alone or to its session.
+func sharedBlocks(info RequestInfo) []PromptBlock { return info.Blocks[:max(0, len(info.Blocks)-1)] }
+
 // newPrompt returns the prompt with the chained hashes of the blocks that other
-// requests may share. The last block is left out: it belongs to the request alone
-// or to its session.
+// requests may share.
 func newPrompt(info RequestInfo) route.Prompt {
 	p := route.Prompt{TotalTokens: info.PromptTokens}
 	if info.Model == "" {
@@ -134,7 +137,7 @@
 	}
 	chain := xxhash.Sum64String(info.Model)
 	tokens := int64(0)
-	for _, block := range info.Blocks[:max(0, len(info.Blocks)-1)] {
+	for _, block := range sharedBlocks(info) {
 		chain = (chain ^ block.ID) * fnvPrime
 		tokens += block.Tokens
 		p.Blocks = append(p.Blocks, chain)
