Quarantine the prompt blocks under which targets crash

Cause: what an instance knew of crashes was keyed by the fingerprint of the whole request. Requests that share a block differ in all else, so no fingerprint was ever seen twice and nothing was quarantined: evidence keyed too narrowly. Keying it by caller, route or first block would have been too wide: sound requests share those. Change: package quarantine. Instances report which blocks, and which request, were in flight when a target's connection ended, to all control instances at once; these look for the fewest blocks that explain the crashes. A block is quarantined after three crashes, five if a request with it is known to have been served; a served request proves all its blocks sound, and crashes before it do not count. Crashes within 250 ms count once, targets that send heartbeats later did not crash. A decision reaches all instances at once and is checked before each send. After one minute, from the fifth crash on after ten and more, single instances let one request through, to a single target. Why it works: a block that crashes whatever runs it is in flight at every crash and never served; no other block is both for long.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -27,6 +27,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -69,6 +70,12 @@
 	return NotSent(err) && errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// ConnectionEnded reports whether err is the end of a connection by the peer after the request
+// was sent, before the response was complete.
+func ConnectionEnded(err error) bool {
+	return !NotSent(err) && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+}
+
 // Errors of an exchange, besides network errors.
 var (
 	// ErrMismatched means that the response does not echo the request id.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"auburnscale/catalog"
@@ -50,6 +51,9 @@
 			c.localPrefill = c.localPrefill || c.prefillAttempts >= maxPrefillAttempts
 			return false, nil
 		}
+		if f := c.refuseIfQuarantined(); f != nil {
+			return false, f
+		}
 		if p.DecodeTarget = c.currentDecodeTarget(p.DecodeTarget); p.DecodeTarget == nil {
 			return false, nil
 		}
@@ -86,6 +90,9 @@
 	if exchange.NotSent(err) {
 		t.RecordDecline(time.Now())
 	}
+	if exchange.ConnectionEnded(err) || errors.Is(err, errIncompleteEvent) {
+		c.server.deps.Blocks.Crashed(t.Name(), strconv.FormatInt(t.Incarnation(), 10), c.suspects)
+	}
 	if exchange.ConnectTimedOut(err) {
 		c.server.deps.Fleets.ConnectTimedOut(t, time.Now())
 	}
@@ -94,11 +101,12 @@
 }
 
 // recordResponse records that the target responded, and what it states of itself: its
-// load, that it is leaving, that it asks for a pause. It returns the decoded status and
-// header.
-func (c *call) recordResponse(t *route.Target, response *exchange.Response) ResponseInfo {
+// load, that it is leaving, that it asks for a pause. sent is when the request was sent, on
+// clock.Now. It returns the decoded status and header.
+func (c *call) recordResponse(t *route.Target, response *exchange.Response, sent time.Duration) ResponseInfo {
 	info := c.server.deps.Codec.DecodeResponse(response.Status(), response.Header())
 	c.server.deps.Fleets.Responded(t)
+	c.server.deps.Blocks.Alive(t.Name(), strconv.FormatInt(t.Incarnation(), 10), sent)
 	if info.HasLoad {
 		t.SetReport(route.Load{Running: info.Load.Running, Waiting: info.Load.Waiting}, time.Now())
 	}
@@ -120,13 +128,14 @@
 	}
 	ctx, cancel := c.attemptContext()
 	defer cancel()
+	sent := clock.Now()
 	response, err := c.server.deps.Dialer.Send(ctx, t.Address(), c.request(d))
 	if err != nil {
 		return c.sendFailed(t, err)
 	}
 	defer response.Close()
 	c.sends++
-	info := c.recordResponse(t, response)
+	info := c.recordResponse(t, response, sent)
 	if info.NotRun {
 		return c.notRun(t, info, d.KVSource != "")
 	}
@@ -239,6 +248,9 @@
 	c.countRun()
 	c.server.deps.Fleets.Succeeded(c.service.Name, t)
 	c.server.deps.Suspects.Clear(c.fingerprint)
+	if response.Status() < http.StatusMultipleChoices {
+		c.server.deps.Blocks.Served(c.suspects)
+	}
 	buffered := &bufferedResponse{status: response.Status(), header: response.Header(), body: body}
 	buffered.write(c)
 	return true, nil
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"auburnscale/catalog"
 	"auburnscale/clock"
 	"auburnscale/exchange"
+	"auburnscale/quarantine"
 	"auburnscale/route"
 )
 
@@ -26,7 +28,11 @@
 	body          []byte
 	prompt        route.Prompt
 	fingerprint   uint64
-	arrived       time.Time
+	// suspects holds the ids by which crashes of targets are explained: those of the prompt
+	// blocks that other requests may share, and the fingerprint. It is empty without a prompt.
+	suspects  []uint64
+	admission quarantine.Admission
+	arrived   time.Time
 	// deadline is when the caller gets a response at the latest.
 	deadline time.Time
 	ctx      context.Context
@@ -57,8 +63,10 @@
 	counted         bool
 	firstEventAfter time.Duration
 	status          string
-	target          string
-	estimatedFirst  time.Duration
+	// blockedBy is the quarantined block for which the request was refused, in hexadecimal.
+	blockedBy      string
+	target         string
+	estimatedFirst time.Duration
 	// prefillTarget is the target that was last asked to prefill the prompt ahead
 	// of the decode target, prefillTime the time that all such prefills took.
 	prefillTarget string
@@ -100,6 +108,10 @@
 	c.ctx, c.cancel = context.WithDeadline(c.http.Context(), c.deadline)
 	defer c.cancel()
 	s.deps.Budget.CountRequest(c.service.Name, clock.Now())
+	c.admission = s.deps.Blocks.Admit(c.suspects)
+	defer s.deps.Blocks.End(c.admission)
+	// A trial reaches a single target.
+	c.localPrefill = c.admission.Trial()
 	if f := c.run(); f != nil {
 		c.respondWithFailure(f)
 		return
@@ -131,6 +143,9 @@
 		return refuse(http.StatusServiceUnavailable, "quarantined", "targets failed repeatedly while running this request").withRetryAfter(wait)
 	}
 	for range maxAttempts {
+		if f := c.refuseIfQuarantined(); f != nil {
+			return f
+		}
 		placement := c.place()
 		if placement.DecodeTarget == nil {
 			return c.noTarget()
@@ -152,6 +167,27 @@
 	return c.noTarget()
 }
 
+// refuseIfQuarantined returns the failure of a request with a quarantined block: a refusal
+// if the request cannot have run. It is checked before each time that the request is sent.
+func (c *call) refuseIfQuarantined() *failure {
+	decision := c.admission
+	if !decision.Refused {
+		decision = c.server.deps.Blocks.Check(c.suspects, c.admission)
+	}
+	if !decision.Refused {
+		return nil
+	}
+	c.blockedBy = strconv.FormatUint(decision.Block, 16)
+	if c.runs > 0 {
+		return fail(http.StatusBadGateway, "quarantined", "the target failed during the request, and targets crash when they run requests with the same prompt block")
+	}
+	return refuse(http.StatusServiceUnavailable, "quarantined", "targets crash when they run requests with the same prompt block").withRetryAfter(max(minQuarantineRetryAfter, decision.Wait))
+}
+
+// minQuarantineRetryAfter is the least Retry-After sent to callers of a request with a
+// quarantined block.
+const minQuarantineRetryAfter = time.Second
+
 // place chooses the targets for the next attempt.
 func (c *call) place() route.Placement {
 	fleet := c.server.deps.Fleets.Fleet(c.service.Name)
@@ -221,7 +257,7 @@
 // mayRetry reports whether a request that may have run may be sent to another
 // target.
 func (c *call) mayRetry() bool {
-	return c.route.RetrySafe() && c.runs < c.route.MaxAttempts && c.sends < maxSends
+	return c.route.RetrySafe() && !c.admission.Trial() && c.runs < c.route.MaxAttempts && c.sends < maxSends
 }
 
 // spendRetry reports whether the request may be sent once more within maxSends and
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -22,6 +23,7 @@
 	"auburnscale/peer"
 	"auburnscale/platform"
 	"auburnscale/platform/standin"
+	"auburnscale/quarantine"
 	"auburnscale/retry"
 	"auburnscale/roster"
 	"auburnscale/route"
@@ -40,6 +42,7 @@
 	fleets     *gateway.Fleets
 	state      *fakeState
 	runCounter *fakeRunCounter
+	blocks     *quarantine.Blocks
 	targets    []*standin.Target
 	address    string
 	lastID     int
@@ -124,6 +127,7 @@
 	snapshot, findings := catalog.New(configuration())
 	require.NoError(t, findings.Err())
 	f := &fixture{t: t, state: &fakeState{snapshot: snapshot}, runCounter: &fakeRunCounter{map[string]int{}}, roster: roster.New(clock.Now, time.Hour)}
+	f.blocks = quarantine.NewBlocks(clock.Now, rand.Float64, o.logger)
 	f.fleets = gateway.NewFleets("d0", route.Placer{}, f.roster, o.logger)
 	for i := range targets {
 		target := standin.NewTarget(fmt.Sprint("e", i))
@@ -134,7 +138,7 @@
 	}
 	f.server = gateway.New(gateway.Config{RequestAddress: freeAddress(t), ReadinessAddress: freeAddress(t), StopNotice: 10 * time.Millisecond, StopTimeout: waitLimit}, gateway.Dependencies{
 		State: f.state, Codec: platform.HeaderCodec{}, Dialer: exchange.NewDialer(netip.MustParseAddr("127.0.0.1")), Fleets: f.fleets,
-		Budget: o.budget, Suspects: retry.NewSuspects(), Runs: f.runCounter, Metrics: tally.NoopScope, Logger: o.logger,
+		Budget: o.budget, Suspects: retry.NewSuspects(), Blocks: f.blocks, Runs: f.runCounter, Metrics: tally.NoopScope, Logger: o.logger,
 	})
 	require.NoError(t, f.server.Listen())
 	f.address = f.server.Address()
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -63,7 +63,7 @@
 	s.countOutcome(f.code)
 	s.deps.Logger.Log(event.RequestRefused, c.fields(zap.Int("status", f.status), zap.String("code", f.code), zap.Bool("not_run", f.notRun),
 		zap.Int64("retry_after_ms", f.retryAfter.Milliseconds()), zap.Int64("estimate_ms", c.estimatedFirst.Milliseconds()),
-		zap.Int("sends", c.sends), zap.Int("runs", c.runs), zap.Strings("tried", c.excluded))...)
+		zap.Int("sends", c.sends), zap.Int("runs", c.runs), zap.Strings("tried", c.excluded), zap.String("block", c.blockedBy))...)
 }
 
 func (s *Server) logDisconnected(c *call) {
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -111,6 +111,7 @@
 	c.body = body
 	c.prompt = newPrompt(c.info)
 	c.fingerprint = c.computeFingerprint()
+	c.suspects = c.suspectIDs()
 	return nil
 }
 
@@ -124,6 +125,23 @@
 	return h.Sum64()
 }
 
+// maxSuspectBlocks bounds the prompt blocks by which crashes of targets are explained.
+const maxSuspectBlocks = 64
+
+// suspectIDs returns the ids of the shared blocks of the prompt, in order, and the
+// fingerprint; none for a request without a prompt.
+func (c *call) suspectIDs() []uint64 {
+	shared := sharedBlocks(c.info)
+	if len(c.info.Blocks) == 0 {
+		return nil
+	}
+	ids := make([]uint64, 0, min(len(shared), maxSuspectBlocks)+1)
+	for _, block := range shared[:min(len(shared), maxSuspectBlocks)] {
+		ids = append(ids, block.ID)
+	}
+	return append(ids, c.fingerprint)
+}
+
 // sharedBlocks returns the blocks of the prompt that other requests may share: all but
 // the last, which belongs to the request alone or to its session.
 func sharedBlocks(info RequestInfo) []PromptBlock { return info.Blocks[:max(0, len(info.Blocks)-1)] }
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,130 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"auburnscale/peer"
+	"auburnscale/platform/standin"
+)
+
+// badBlock is a prompt block that is quarantined, in the headers badHeaders.
+const badBlock = 0xbad
+
+var (
+	badHeaders   = []string{"X-Model", "m", "X-Token-Count", "1000,10", "X-Prefix-Hash", "a1:900,bad:50,c3:50"}
+	soundHeaders = []string{"X-Model", "m", "X-Token-Count", "1000,10", "X-Prefix-Hash", "a1:900,d4:50,c3:50"}
+)
+
+// quarantineBlock makes the fixture's gateway refuse the block, as a control instance told it.
+func (f *fixture) quarantineBlock(block uint64) {
+	f.blocks.Received("control", []*peer.SuspectBlock{{Block: block, Crashes: 5, Quarantined: true}})
+}
+
+func (f *fixture) arrivals() (n int) {
+	for _, t := range f.targets {
+		n += len(t.Seen())
+	}
+	return n
+}
+
+// TestQuarantinedBlockIsRefused checks that a request with a quarantined block reaches no target,
+// and that the caller is told truly that it has not run and when to come back. Requests without
+// the block, and those in which it is the last one, which is the request's own, are served.
+func TestQuarantinedBlockIsRefused(t *testing.T) {
+	f := newFixture(t, 2)
+	f.quarantineBlock(badBlock)
+	response, _ := f.send(http.MethodPost, "/streams/a", badHeaders...)
+	require.Equal(t, http.StatusServiceUnavailable, response.status)
+	require.Contains(t, response.body, `"code":"quarantined"`)
+	require.Contains(t, response.body, `"not_run":true`)
+	wait, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Greater(t, wait, 60.0)
+	require.Zero(t, f.arrivals())
+
+	response, _ = f.send(http.MethodPost, "/streams/a", soundHeaders...)
+	require.Equal(t, http.StatusOK, response.status)
+	response, _ = f.send(http.MethodPost, "/streams/a", "X-Model", "m", "X-Token-Count", "1000,10", "X-Prefix-Hash", "a1:900,bad:50")
+	require.Equal(t, http.StatusOK, response.status, "the last block")
+}
+
+// TestQuarantineBeforeEachSend checks that a block that is quarantined while a request is under
+// way ends its further sends: the decode after the prefill, a retry, and a resumed stream.
+func TestQuarantineBeforeEachSend(t *testing.T) {
+	t.Run("after the prefill", func(t *testing.T) {
+		f := newFixture(t, 2)
+		f.announce(0, peer.TargetRow_PREFILL)
+		f.announce(1, peer.TargetRow_DECODE)
+		f.targets[0].Script(func(*standin.Target, http.ResponseWriter, *http.Request) bool {
+			f.quarantineBlock(badBlock)
+			return false
+		})
+		response, id := f.send(http.MethodPost, "/streams/a", "X-Model", "m", "X-Token-Count", "100000,10", "X-Prefix-Hash", "a1:90000,bad:5000,c3:5000")
+		require.Len(t, f.targets[0].Seen(), 1, "the prefill")
+		require.Equal(t, http.StatusServiceUnavailable, response.status)
+		require.Zero(t, f.runs(id))
+	})
+	t.Run("instead of a resumption", func(t *testing.T) {
+		f := newFixture(t, 2)
+		quarantineAndFail := func(t *standin.Target, w http.ResponseWriter, r *http.Request) bool {
+			f.quarantineBlock(badBlock)
+			return standin.TruncateStreamAfter(1)(t, w, r)
+		}
+		f.targets[0].Script(quarantineAndFail)
+		f.targets[1].Script(quarantineAndFail)
+		response, id := f.send(http.MethodPost, "/resumable/a", badHeaders...)
+		require.Error(t, response.err, "a stream that is broken off does not look complete")
+		require.Equal(t, 1, f.runs(id))
+	})
+	t.Run("instead of a retry", func(t *testing.T) {
+		f := newFixture(t, 2)
+		quarantineAndFail := func(t *standin.Target, w http.ResponseWriter, r *http.Request) bool {
+			f.quarantineBlock(badBlock)
+			return standin.Reset(t, w, r)
+		}
+		f.targets[0].Script(quarantineAndFail)
+		f.targets[1].Script(quarantineAndFail)
+		response, id := f.send(http.MethodPost, "/resumable/a", badHeaders...)
+		require.Equal(t, http.StatusBadGateway, response.status, "it may have run")
+		require.Equal(t, 1, f.runs(id))
+	})
+}
+
+// TestFailureModesThatAreCrashes checks which failures of targets count as crashes under the
+// prompt's blocks: connections that end early, not refusals, error responses or other bytes.
+func TestFailureModesThatAreCrashes(t *testing.T) {
+	cases := []struct {
+		name      string
+		behaviour standin.Behaviour
+		crash     bool
+	}{
+		{"reset", standin.Reset, true},
+		{"stream broken off", standin.TruncateStreamAfter(1), true},
+		{"refused", standin.Refuse, false},
+		{"error response", standin.Fail, false},
+		{"other bytes", standin.Garble, false},
+		{"another request's response", standin.MismatchID, false},
+		{"served", standin.Respond, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.targets[0].Script(c.behaviour)
+			f.send(http.MethodPost, "/streams/a", badHeaders...)
+			report, _ := f.blocks.Report("")
+			if !c.crash {
+				require.Empty(t, report.GetCrashed())
+				return
+			}
+			require.Len(t, report.GetCrashed(), 1)
+			require.Equal(t, "e0", report.Crashed[0].Target)
+			require.Equal(t, "1", report.Crashed[0].Incarnation)
+			require.Equal(t, []uint64{0xa1, badBlock}, report.Crashed[0].Blocks[:2])
+			require.Len(t, report.Crashed[0].Blocks, 3, "and the fingerprint")
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"auburnscale/clock"
 	"auburnscale/exchange"
 	"auburnscale/route"
 )
@@ -77,6 +78,7 @@
 			c.status = "200"
 			c.server.deps.Fleets.Succeeded(c.service.Name, t)
 			c.server.deps.Suspects.Clear(c.fingerprint)
+			c.server.deps.Blocks.Served(c.suspects)
 			return true, nil
 		}
 		f := c.requestFailed(t, err)
@@ -205,9 +207,10 @@
 	for c.mayRetry() && c.ctx.Err() == nil {
 		placement := c.server.deps.Fleets.Placer().Direct(c.server.deps.Fleets.Fleet(c.service.Name), c.prompt, c.excluded, time.Now())
 		t := placement.DecodeTarget
-		if t == nil || !c.spendRetry() {
+		if t == nil || c.refuseIfQuarantined() != nil || !c.spendRetry() {
 			return nil, nil
 		}
+		sent := clock.Now()
 		response, err := c.server.deps.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), LastEventID: r.lastID}))
 		if err != nil {
 			if _, f := c.sendFailed(t, err); f != nil {
@@ -216,7 +219,7 @@
 			continue
 		}
 		c.sends++
-		info := c.recordResponse(t, response)
+		info := c.recordResponse(t, response, sent)
 		if info.NotRun || !info.FromTarget || response.Status() != http.StatusOK {
 			c.excluded = append(c.excluded, t.Name())
 			response.Close()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -28,6 +28,7 @@
 	"auburnscale/catalog"
 	"auburnscale/event"
 	"auburnscale/exchange"
+	"auburnscale/quarantine"
 	"auburnscale/retry"
 	"auburnscale/tcp"
 )
@@ -69,6 +70,7 @@
 	Fleets   *Fleets
 	Budget   *retry.BudgetShare
 	Suspects *retry.Suspects
+	Blocks   *quarantine.Blocks
 	Runs     RunCounter
 	Metrics  tally.Scope
 	Logger   *event.Logger
--- /dev/null
+++ b/quarantine/evidence.go
@@ -0,0 +1,476 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnscale/event"
+	"auburnscale/peer"
+)
+
+const (
+	// evidenceTTL is how long a crash counts as evidence.
+	evidenceTTL = time.Minute
+	// soundTTL is how long a block counts as proved sound.
+	soundTTL = 10 * time.Minute
+	// verdictTTL is how long a quarantined block is remembered after its last crash.
+	verdictTTL = 24 * time.Hour
+	// releaseTTL is how long the release of a block is told.
+	releaseTTL = time.Minute
+	// listedCrashes is the number of crashes from which a block is listed, so that
+	// instances that served requests with it say so.
+	listedCrashes = 2
+	// quarantineCrashes is the number of crashes after which a block is quarantined if no
+	// request with it is known to have been served. provenCrashes is that number for other
+	// blocks.
+	quarantineCrashes = 3
+	provenCrashes     = 5
+	// episodeGap is the time within which crashes count as one: targets that share a rack
+	// or a failure domain crash together whatever they run.
+	episodeGap = 250 * time.Millisecond
+	// heartbeatTolerance is by how much later than the end of a connection a heartbeat must
+	// be to prove that the target did not crash. It covers the travel of heartbeats and reports,
+	// and the error of the ages with which control instances exchange heartbeats.
+	heartbeatTolerance = 600 * time.Millisecond
+	// reviewTime is how long a decision is made anew with each report: instances report the
+	// requests in flight at the same crash one after the other.
+	reviewTime = time.Second
+	// decisionInterval is how long decisions hold without new reports; time alone changes
+	// them slowly.
+	decisionInterval = 100 * time.Millisecond
+
+	// Bounds of what is kept and listed.
+	maxCrashes        = 128
+	maxBlocksPerCrash = 512
+	maxVerdicts       = 256
+	maxSoundBlocks    = 8192
+	maxListedSuspects = 128
+)
+
+// Liveness knows when targets were last in contact.
+type Liveness interface {
+	// HeardSince reports whether the incarnation of the target sent a heartbeat after the
+	// time, or announced that it ends.
+	HeardSince(target, incarnation string, at time.Duration) bool
+}
+
+// Evidence holds the crashes of targets with the blocks that were in flight there, as reported
+// by all instances. It is safe for concurrent use.
+type Evidence struct {
+	now      func() time.Duration
+	liveness Liveness
+	logger   *event.Logger
+
+	mutex    sync.Mutex
+	crashes  map[crashID]*crash
+	sound    map[uint64]time.Duration
+	verdicts map[uint64]*verdict
+	// revision counts the changes of what List returns, decisions those of verdicts.
+	revision, decisions uint64
+	listed              []listedBlock
+	decidedAt           time.Duration
+	// sweptAt is when expired blocks were last removed from sound.
+	sweptAt time.Duration
+	// stale is true if the crashes, or what is decided on their blocks, changed since the
+	// last decision.
+	stale bool
+}
+
+// A listedBlock is a block that List describes. crashes and at, the time of the last crash, are
+// those of a block without a verdict.
+type listedBlock struct {
+	block   uint64
+	crashes int
+	at      time.Duration
+}
+
+// A crashID identifies the start of a target that crashed.
+type crashID struct{ target, incarnation string }
+
+// A crash holds the blocks of the requests that were in flight on a target at its crash.
+type crash struct {
+	at time.Duration
+	// blocks holds the largest position of each block in its prompts.
+	blocks map[uint64]int
+}
+
+// A verdict is what is decided on a block.
+type verdict struct {
+	crashes     int
+	at          time.Duration
+	quarantined bool
+	// quarantinedAt is when it was quarantined by reported crashes, or 0.
+	quarantinedAt time.Duration
+	// releasedAt is when the block was released, if it is not quarantined.
+	releasedAt time.Duration
+	// counted holds the crashes that are included in crashes.
+	counted map[crashID]bool
+}
+
+// NewEvidence returns evidence without crashes. liveness may be nil.
+func NewEvidence(now func() time.Duration, liveness Liveness, logger *event.Logger) *Evidence {
+	return &Evidence{now: now, liveness: liveness, logger: logger, crashes: map[crashID]*crash{}, sound: map[uint64]time.Duration{}, verdicts: map[uint64]*verdict{}}
+}
+
+// Record adds what an instance reports. It returns whether other blocks are listed than
+// before, and whether a block was quarantined or released.
+func (e *Evidence) Record(report *peer.SuspectReport) (listed, decided bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.now()
+	revision, decisions := e.revision, e.decisions
+	for _, r := range report.Crashed {
+		e.recordCrash(r, now)
+	}
+	for _, s := range report.Sound {
+		e.recordSound(s.Block, now-millis(s.AgeMs))
+	}
+	for _, q := range report.Quarantined {
+		e.adopt(q, now)
+	}
+	e.decide(now)
+	return e.revision > revision, e.decisions > decisions
+}
+
+// List returns the blocks that instances should know of: those quarantined, those released a
+// short time ago, and those under which several targets crashed.
+func (e *Evidence) List() []*peer.SuspectBlock {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.now()
+	if now-e.decidedAt >= decisionInterval {
+		e.decide(now)
+	}
+	list := make([]*peer.SuspectBlock, 0, len(e.listed))
+	for _, l := range e.listed {
+		list = append(list, e.describe(l, now))
+	}
+	return list
+}
+
+func (e *Evidence) describe(l listedBlock, now time.Duration) *peer.SuspectBlock {
+	_, proven := e.sound[l.block]
+	d := &peer.SuspectBlock{Block: l.block, Crashes: int32(l.crashes), AgeMs: (now - l.at).Milliseconds(), Proven: proven}
+	v := e.verdicts[l.block]
+	switch {
+	case v == nil:
+	case v.quarantined:
+		d.Crashes, d.AgeMs, d.Quarantined = int32(v.crashes), (now - v.at).Milliseconds(), true
+	default:
+		at := v.releasedAt
+		if proven {
+			at = e.sound[l.block]
+		}
+		d.Crashes, d.AgeMs, d.Released = int32(v.crashes), (now - at).Milliseconds(), true
+	}
+	return d
+}
+
+// episodes returns the number of crashes at the sorted times, counting those within episodeGap
+// as one.
+func episodes(times []time.Duration) (n int) {
+	last := time.Duration(0)
+	for _, at := range times {
+		if n == 0 || at-last >= episodeGap {
+			n++
+			last = at
+		}
+	}
+	return n
+}
+
+func (e *Evidence) recordCrash(r *peer.CrashedRequest, now time.Duration) {
+	at := now - millis(r.AgeMs)
+	if now-at > evidenceTTL {
+		return
+	}
+	id := crashID{r.Target, r.Incarnation}
+	c := e.crashes[id]
+	if c == nil {
+		if len(e.crashes) >= maxCrashes {
+			e.dropOldestCrash()
+		}
+		c = &crash{at: at, blocks: map[uint64]int{}}
+		e.crashes[id] = c
+	}
+	e.stale = true
+	for position, block := range r.Blocks {
+		if served, ok := e.sound[block]; ok && served >= c.at {
+			continue
+		}
+		if _, known := c.blocks[block]; known || len(c.blocks) < maxBlocksPerCrash {
+			c.blocks[block] = max(c.blocks[block], position)
+		}
+		e.countAgain(block, id, c.at)
+	}
+}
+
+// countAgain adds a crash under a quarantined block to its verdict.
+func (e *Evidence) countAgain(block uint64, id crashID, at time.Duration) {
+	v := e.verdicts[block]
+	if v == nil || !v.quarantined || v.counted[id] || at-v.at < episodeGap {
+		return
+	}
+	v.counted[id] = true
+	v.crashes++
+	v.at = at
+	e.decisions++
+	e.logger.Log(event.BlockBlamed, zap.String("block", blockName(block)), zap.Int("crashes", v.crashes), zap.String("target", id.target))
+}
+
+func (e *Evidence) dropOldestCrash() {
+	var oldest crashID
+	first := time.Duration(0)
+	for id, c := range e.crashes {
+		if first == 0 || c.at < first {
+			oldest, first = id, c.at
+		}
+	}
+	delete(e.crashes, oldest)
+}
+
+// recordSound records that a request with the block was served at the time. Earlier crashes
+// are not the block's doing.
+func (e *Evidence) recordSound(block uint64, at time.Duration) {
+	if known, ok := e.sound[block]; ok && at <= known {
+		return
+	}
+	if len(e.sound) >= maxSoundBlocks {
+		clear(e.sound)
+	}
+	e.sound[block] = at
+	for _, c := range e.crashes {
+		if _, ok := c.blocks[block]; ok {
+			e.stale = true
+			if c.at <= at {
+				delete(c.blocks, block)
+			}
+		}
+	}
+	v := e.verdicts[block]
+	if v != nil && v.quarantined && (at > v.at || v.crashes < provenCrashes) {
+		e.release(block, v, "served")
+	}
+}
+
+func (e *Evidence) release(block uint64, v *verdict, reason string) {
+	v.quarantined, v.releasedAt = false, e.now()
+	e.stale = true
+	e.decisions++
+	e.logger.Log(event.BlockCleared, zap.String("block", blockName(block)), zap.Int("crashes", v.crashes), zap.String("reason", reason))
+}
+
+// adopt takes over a quarantined block that an instance knows from another control instance.
+func (e *Evidence) adopt(q *peer.SuspectBlock, now time.Duration) {
+	at := now - millis(q.AgeMs)
+	known := e.verdicts[q.Block]
+	if now-at > verdictTTL || known == nil && len(e.verdicts) >= maxVerdicts || known != nil && known.quarantined && known.crashes >= int(q.Crashes) {
+		return
+	}
+	v := &verdict{crashes: int(q.Crashes), at: at, quarantined: true, counted: map[crashID]bool{}}
+	e.verdicts[q.Block] = v
+	e.stale = true
+	e.decisions++
+	if served, ok := e.sound[q.Block]; ok && (served > at || v.crashes < provenCrashes) {
+		e.release(q.Block, v, "served")
+	}
+}
+
+// decide drops what has expired, quarantines the blocks that explain the crashes, and updates
+// the list.
+func (e *Evidence) decide(now time.Duration) {
+	e.decidedAt = now
+	e.expire(now)
+	if !e.stale {
+		return
+	}
+	e.stale = false
+	recent := e.takeRecent(now)
+	candidates := e.candidates()
+	for best := bestExplanation(candidates); best != nil && len(e.verdicts) < maxVerdicts; best = bestExplanation(candidates) {
+		e.quarantine(best.block, best.times, recent[best.block], now)
+		delete(recent, best.block)
+		candidates = e.candidates()
+	}
+	for block, v := range recent {
+		e.verdicts[block] = v
+		e.release(block, v, "other block")
+	}
+	if listed := e.blocksToList(candidates); !slices.Equal(listed, e.listed) {
+		e.listed = listed
+		e.revision++
+	}
+}
+
+// takeRecent removes the quarantined blocks that are still under review and returns them.
+func (e *Evidence) takeRecent(now time.Duration) map[uint64]*verdict {
+	recent := map[uint64]*verdict{}
+	for block, v := range e.verdicts {
+		if v.quarantined && v.quarantinedAt > 0 && now-v.quarantinedAt < reviewTime {
+			recent[block] = v
+			delete(e.verdicts, block)
+		}
+	}
+	return recent
+}
+
+// quarantine quarantines the block for the crashes at the times. before is its verdict if it is
+// under review.
+func (e *Evidence) quarantine(block uint64, times []time.Duration, before *verdict, now time.Duration) {
+	v := &verdict{crashes: episodes(times), at: times[len(times)-1], quarantined: true, quarantinedAt: now, counted: map[crashID]bool{}}
+	var targets []string
+	for id, c := range e.crashes {
+		if _, ok := c.blocks[block]; ok {
+			v.counted[id] = true
+			targets = append(targets, id.target)
+		}
+	}
+	e.verdicts[block] = v
+	if before != nil {
+		v.quarantinedAt = before.quarantinedAt
+		if v.crashes == before.crashes {
+			return
+		}
+	}
+	e.decisions++
+	slices.Sort(targets)
+	_, proven := e.sound[block]
+	e.logger.Log(event.BlockBlamed, zap.String("block", blockName(block)), zap.Int("crashes", v.crashes), zap.Bool("proven", proven), zap.Strings("targets", targets))
+}
+
+// expire removes old crashes and verdicts, and crashes of targets that are alive.
+func (e *Evidence) expire(now time.Duration) {
+	for id, c := range e.crashes {
+		switch {
+		case now-c.at > evidenceTTL:
+			delete(e.crashes, id)
+			e.stale = true
+		case e.liveness != nil && e.liveness.HeardSince(id.target, id.incarnation, c.at+heartbeatTolerance):
+			delete(e.crashes, id)
+			e.discount(id)
+		}
+	}
+	for block, v := range e.verdicts {
+		if v.quarantined && now-v.at > verdictTTL || !v.quarantined && now-v.releasedAt > releaseTTL {
+			delete(e.verdicts, block)
+			e.stale = true
+		}
+	}
+	if now-e.sweptAt > soundTTL/10 {
+		e.sweptAt = now
+		maps.DeleteFunc(e.sound, func(_ uint64, at time.Duration) bool { return now-at > soundTTL })
+	}
+}
+
+// discount takes a crash that did not happen out of the verdicts.
+func (e *Evidence) discount(id crashID) {
+	e.stale = true
+	for block, v := range e.verdicts {
+		if !v.quarantined || !v.counted[id] {
+			continue
+		}
+		delete(v.counted, id)
+		v.crashes--
+		if v.crashes < quarantineCrashes {
+			e.release(block, v, "target alive")
+		}
+	}
+}
+
+// A candidate is a block that may explain crashes which no quarantined block explains.
+type candidate struct {
+	block    uint64
+	times    []time.Duration
+	position int
+	proven   bool
+}
+
+// better reports whether c explains the crashes better than other: it is not known to have
+// been served, it was in flight at more of them, or it is more specific, since it comes later
+// in the prompts.
+func (c *candidate) better(other *candidate) bool {
+	own, others := episodes(c.times), episodes(other.times)
+	switch {
+	case c.proven != other.proven:
+		return !c.proven
+	case own != others:
+		return own > others
+	case c.position != other.position:
+		return c.position > other.position
+	}
+	return c.block < other.block
+}
+
+// bestExplanation returns the candidate that explains the crashes best, or nil if none was in
+// flight at enough of them.
+func bestExplanation(candidates map[uint64]*candidate) (best *candidate) {
+	for _, c := range candidates {
+		enough := quarantineCrashes
+		if c.proven {
+			enough = provenCrashes
+		}
+		if len(c.times) >= enough && episodes(c.times) >= enough && (best == nil || c.better(best)) {
+			best = c
+		}
+	}
+	return best
+}
+
+// candidates returns the blocks of the crashes that no quarantined block explains.
+func (e *Evidence) candidates() map[uint64]*candidate {
+	byBlock := map[uint64]*candidate{}
+	for _, c := range e.crashes {
+		if e.explained(c) {
+			continue
+		}
+		for block, position := range c.blocks {
+			known := byBlock[block]
+			if known == nil {
+				_, proven := e.sound[block]
+				known = &candidate{block: block, proven: proven}
+				byBlock[block] = known
+			}
+			known.times = append(known.times, c.at)
+			known.position = max(known.position, position)
+		}
+	}
+	for _, c := range byBlock {
+		if len(c.times) > 1 {
+			slices.Sort(c.times)
+		}
+	}
+	return byBlock
+}
+
+// explained reports whether a quarantined block was in flight at the crash.
+func (e *Evidence) explained(c *crash) bool {
+	for block := range c.blocks {
+		if v := e.verdicts[block]; v != nil && v.quarantined {
+			return true
+		}
+	}
+	return false
+}
+
+// blocksToList returns the blocks that List describes, in order.
+func (e *Evidence) blocksToList(candidates map[uint64]*candidate) []listedBlock {
+	list := make([]listedBlock, 0, len(e.verdicts))
+	for _, block := range slices.Sorted(maps.Keys(e.verdicts)) {
+		list = append(list, listedBlock{block: block})
+	}
+	var suspects []listedBlock
+	for block, c := range candidates {
+		if n := len(c.times); n >= listedCrashes && e.verdicts[block] == nil && episodes(c.times) >= listedCrashes {
+			suspects = append(suspects, listedBlock{block, episodes(c.times), c.times[n-1]})
+		}
+	}
+	slices.SortFunc(suspects, func(x, y listedBlock) int { return cmp.Compare(x.block, y.block) })
+	return append(list, suspects[:min(len(suspects), maxListedSuspects)]...)
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -20,6 +20,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,6 +118,19 @@
 	r.publish(before)
 }
 
+// HeardSince reports whether the incarnation of the target, which is its start in Unix
+// milliseconds, sent a heartbeat after the time, or announced that it ends. It returns false
+// for an unknown target.
+func (r *Roster) HeardSince(target, incarnation string, at time.Duration) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	e := r.entries[target]
+	if e == nil || strconv.FormatInt(e.row.BornMs, 10) != incarnation {
+		return false
+	}
+	return e.lastContact > at || e.row.State == peer.TargetRow_DRAINING || e.row.EndedMs > 0
+}
+
 // Tick updates which targets are unresponsive and removes those that deregistered
 // longer than goneRetention ago.
 func (r *Roster) Tick() {
--- a/serve/control.go
+++ b/serve/control.go
@@ -20,6 +20,7 @@
 	"auburnscale/event"
 	"auburnscale/peer"
 	"auburnscale/platform"
+	"auburnscale/quarantine"
 	"auburnscale/quorum"
 	"auburnscale/replica"
 	"auburnscale/roster"
@@ -144,7 +145,7 @@
 		Incarnation: c.incarnation, Seed: uint64(clock.Now()), CompactEntries: compactEntries,
 	}, c.folder, c.senders, c.logger)
 	c.roster = roster.New(clock.Now, missedHeartbeatLimit*f.HeartbeatInterval.AsDuration())
-	c.watchServer = watch.NewServer(c.incarnation, c.voter, c.roster)
+	c.watchServer = watch.NewServer(c.incarnation, c.voter, c.roster, quarantine.NewEvidence(clock.Now, c.roster, c.logger))
 	c.loadAggregator = watch.NewLoadAggregator(c.incarnation)
 	c.watchClient = watch.NewClient(self.Address, c.outboundClients.client, c, c.logger)
 	c.loadMesh = watch.NewLoadMesh(self.Address, c.loadAggregator, c.watchClient.Addresses, c.watchServer.Entries, c.outboundClients.client)
--- a/serve/control_api_test.go
+++ b/serve/control_api_test.go
@@ -19,7 +19,7 @@
 // one.
 func TestDeregisterWithoutStartTime(t *testing.T) {
 	rows := roster.New(clock.Now, time.Hour)
-	c := &Control{roster: rows, watchServer: watch.NewServer("one", nil, rows), logger: event.Nop()}
+	c := &Control{roster: rows, watchServer: watch.NewServer("one", nil, rows, nil), logger: event.Nop()}
 	wall := time.Now().UnixMilli()
 	announce := func(start int64, seq uint64) peer.TargetRow_State {
 		c.UpdateTarget(&peer.TargetRow{Id: "e1", Service: "desk", Address: "1:1", State: peer.TargetRow_READY, BornMs: start, Seq: seq})
@@ -36,7 +36,7 @@
 // ends only the incarnation that started then.
 func TestDeregisterWithStartTime(t *testing.T) {
 	rows := roster.New(clock.Now, time.Hour)
-	c := &Control{roster: rows, watchServer: watch.NewServer("one", nil, rows), logger: event.Nop()}
+	c := &Control{roster: rows, watchServer: watch.NewServer("one", nil, rows, nil), logger: event.Nop()}
 	c.UpdateTarget(&peer.TargetRow{Id: "e1", Service: "desk", Address: "1:1", State: peer.TargetRow_READY, BornMs: 20, Seq: 1})
 	c.UpdateTarget(&peer.TargetRow{Id: "e1", State: peer.TargetRow_GONE, BornMs: 10})
 	require.Equal(t, peer.TargetRow_READY, rows.Snapshot().Target("e1").GetState())
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"auburnscale/gateway"
 	"auburnscale/peer"
 	"auburnscale/platform"
+	"auburnscale/quarantine"
 	"auburnscale/retry"
 	"auburnscale/roster"
 	"auburnscale/route"
@@ -65,9 +67,11 @@
 	fleets          *gateway.Fleets
 	budget          *retry.BudgetShare
 	suspects        *retry.Suspects
+	blocks          *quarantine.Blocks
 	startedRequests *usage.StartedRequests
 	watchClient     *watch.Client
 	loadExchanger   *watch.LoadExchanger
+	suspectReporter *watch.SuspectReporter
 	gateway         *gateway.Server
 
 	configuration atomic.Pointer[catalog.Snapshot]
@@ -99,7 +103,7 @@
 		roster:   targets,
 		fleets:   gateway.NewFleets(s.FailureDomain, route.Placer{TransferDelay: kvTransferDelay, RemoteDelay: remoteDomainDelay, CrossDomainDelay: crossDomainDelay}, targets, logger),
 		budget:   retry.NewBudgetShare(f.RetryRatio, f.RetrySlack, f.RetryWindow.AsDuration()),
-		suspects: retry.NewSuspects(), startedRequests: usage.NewStartedRequests(f.UsageWindow.AsDuration()),
+		suspects: retry.NewSuspects(), blocks: quarantine.NewBlocks(clock.Now, rand.Float64, logger), startedRequests: usage.NewStartedRequests(f.UsageWindow.AsDuration()),
 		documents: make(chan *peer.ReplaceDocument, 16), failures: make(chan error, 4), stopped: make(chan struct{}),
 	}
 	scope, scrape := newMetricsScope(s.Instance)
@@ -110,10 +114,11 @@
 	out.dialer.OnDropped(e.logDroppedConnection)
 	e.watchClient = watch.NewClient("", out.client, e, logger)
 	e.loadExchanger = watch.NewLoadExchanger(e.incarnation, s.FailureDomain, e.watchClient, out.client, e.fleets)
+	e.suspectReporter = watch.NewSuspectReporter(e.incarnation, e.watchClient.Addresses, out.client, e.blocks)
 	e.gateway = gateway.New(gateway.Config{
 		RequestAddress: f.RequestAddress, ReadinessAddress: f.ReadinessAddress, StopNotice: min(shutdownNotice, f.StopGrace.AsDuration()/3), StopTimeout: f.StopGrace.AsDuration(),
 	}, gateway.Dependencies{
-		State: e, Codec: platform.HeaderCodec{}, Dialer: out.dialer, Fleets: e.fleets, Budget: e.budget, Suspects: e.suspects,
+		State: e, Codec: platform.HeaderCodec{}, Dialer: out.dialer, Fleets: e.fleets, Budget: e.budget, Suspects: e.suspects, Blocks: e.blocks,
 		Runs: e.startedRequests, Metrics: scope, Logger: logger,
 	})
 	return e, e.gateway.Listen()
@@ -124,6 +129,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.watchClient.SetSeeds(seedAddresses(e.settings.Fleet))
 	e.loadExchanger.Start()
+	e.suspectReporter.Start()
 	go e.runGateway()
 	go e.runReadiness()
 	go e.runRefresh()
@@ -138,6 +144,7 @@
 	open := e.gateway.Stop()
 	close(e.stopped)
 	e.loadExchanger.Stop()
+	e.suspectReporter.Stop()
 	e.watchClient.Stop()
 	e.metricsServer.close()
 	e.logger.Log(event.Stopped, zap.Int64("open", open))
@@ -228,6 +235,8 @@
 		reported = append(reported, retry.Suspicion{Fingerprint: suspicion.Fingerprint, Failures: int(suspicion.Crashes)})
 	}
 	e.suspects.SetReported(reported)
+	e.blocks.SetInstances(int(response.Entries))
+	e.blocks.Received(response.Server, response.SuspectBlocks)
 	newest := max(response.Version, response.Document.GetVersion())
 	if held := e.configurationVersion.Load(); response.Current && held > 0 && newest <= held {
 		e.leaderConfirmed.Store(true)
@@ -269,6 +278,7 @@
 	}
 	e.fleets.Refresh(e.roster.Snapshot(), names, time.Now())
 	e.metrics.Gauge("configuration_version").Update(float64(configuration.Version()))
+	e.metrics.Gauge("blocks_quarantined").Update(float64(e.blocks.Quarantined()))
 	e.metrics.Gauge("requests_open").Update(float64(e.gateway.OpenRequests()))
 	for _, name := range names {
 		e.metrics.Tagged(map[string]string{"service": name}).Gauge("targets_usable").Update(float64(len(e.fleets.Fleet(name).Targets())))
--- a/watch/server.go
+++ b/watch/server.go
@@ -1,7 +1,7 @@
 // Package watch distributes the state of control instances (targets, the
 // configuration, the list of control instances) to every instance by long
 // polling, and carries the reports of entry instances (counts of started
-// requests, suspicions) back to them.
+// requests, suspicions, crashes of targets) back to them.
 //
 // It owns both sides of the long poll. An instance polls every control instance
 // that it knows, so that any of them may fail, or be partitioned from the
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	server := watch.NewServer(incarnation, voter, roster)
+//	server := watch.NewServer(incarnation, voter, roster, evidence)
 //	response := server.Watch(ctx, request)
 //	client := watch.NewClient(self, dialer, sink, logger)
 //	client.SetSeeds(addresses)
@@ -28,6 +28,7 @@
 	"auburnscale/contact"
 	"auburnscale/control"
 	"auburnscale/peer"
+	"auburnscale/quarantine"
 	"auburnscale/roster"
 	"auburnscale/voter"
 )
@@ -72,6 +73,7 @@
 	incarnation string
 	voter       *voter.Voter
 	roster      *roster.Roster
+	evidence    *quarantine.Evidence
 	// now is clock.Now except in tests.
 	now func() time.Duration
 
@@ -83,8 +85,11 @@
 	// suspicions holds crash reports by request fingerprint and by the reporting
 	// incarnation.
 	suspicions map[uint64]map[string]crashReport
-	// suspicionsChanged is closed, and replaced, when a crash count changes.
+	// suspicionsChanged is closed, and replaced, when a crash count changes or a block is
+	// quarantined or released.
 	suspicionsChanged chan struct{}
+	// suspectsListed is closed, and replaced, when evidence lists other suspect blocks.
+	suspectsListed chan struct{}
 	// medianOffset is the median of the instances' wall clocks minus this instance's
 	// clock, as of medianAt.
 	medianOffset, medianAt time.Duration
@@ -114,10 +119,11 @@
 
 // NewServer returns the server for a control instance with the given
 // incarnation.
-func NewServer(incarnation string, v *voter.Voter, r *roster.Roster) *Server {
+func NewServer(incarnation string, v *voter.Voter, r *roster.Roster, evidence *quarantine.Evidence) *Server {
 	return &Server{
-		incarnation: incarnation, voter: v, roster: r, now: clock.Now, contacts: contact.New(watcherTimeout), watchers: map[string]*watcher{}, counters: map[counterKey]int64{},
+		incarnation: incarnation, voter: v, roster: r, evidence: evidence, now: clock.Now, contacts: contact.New(watcherTimeout), watchers: map[string]*watcher{}, counters: map[counterKey]int64{},
 		suspicions: map[uint64]map[string]crashReport{}, suspicionsChanged: make(chan struct{}),
+		suspectsListed: make(chan struct{}),
 	}
 }
 
@@ -187,7 +193,7 @@
 	timer := time.NewTimer(holdOf(request))
 	defer timer.Stop()
 	s.mutex.Lock()
-	suspicionsChanged, watchers := s.suspicionsChanged, len(s.watchers)
+	suspicionsChanged, suspectsListed, watchers := s.suspicionsChanged, s.suspectsListed, len(s.watchers)
 	s.mutex.Unlock()
 	rows := s.roster.Changed()
 	if s.roster.Snapshot().Revision() != request.Roster {
@@ -205,6 +211,9 @@
 			// domain is ordered.
 			rows = nil
 			timer.Reset(batchDelay(request.Control, watchers))
+		case <-suspectsListed:
+			suspectsListed = nil
+			timer.Reset(batchDelay(request.Control, watchers))
 		case <-changed:
 		case <-suspicionsChanged:
 			return
@@ -276,9 +285,29 @@
 	response.Entries = s.entriesLocked()
 	response.WallMs = s.medianTimeLocked().Milliseconds()
 	response.Suspicions = s.suspicionsLocked()
+	if !request.Control {
+		response.SuspectBlocks = s.evidence.List()
+	}
 	return response
 }
 
+// ReportSuspects adds what an instance reports to the evidence and returns the suspect blocks.
+// Polling instances learn at once what is decided by it.
+func (s *Server) ReportSuspects(report *peer.SuspectReport) *peer.SuspectList {
+	listed, decided := s.evidence.Record(report)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if decided {
+		close(s.suspicionsChanged)
+		s.suspicionsChanged = make(chan struct{})
+	}
+	if listed {
+		close(s.suspectsListed)
+		s.suspectsListed = make(chan struct{})
+	}
+	return &peer.SuspectList{Server: s.incarnation, Blocks: s.evidence.List()}
+}
+
 // entriesLocked returns the number of live entry instances and removes watchers
 // that timed out.
 func (s *Server) entriesLocked() int32 {
--- a/watch/server_test.go
+++ b/watch/server_test.go
@@ -6,7 +6,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"auburnscale/clock"
+	"auburnscale/event"
 	"auburnscale/peer"
+	"auburnscale/quarantine"
 )
 
 // TestSuspendedServerKeepsEntries suspends a control instance across the end of a
@@ -14,7 +17,7 @@
 // resumption being taken for the only live one: the usage figures would count as
 // complete and the entry instance would get the whole retry budget.
 func TestSuspendedServerKeepsEntries(t *testing.T) {
-	s := NewServer("one", nil, nil)
+	s := NewServer("one", nil, nil, quarantine.NewEvidence(clock.Now, nil, event.Nop()))
 	at := time.Hour
 	s.now = func() time.Duration { return at }
 	contact := func(incarnation string, begun int64) {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -12,6 +12,7 @@
 	"auburnscale/control"
 	"auburnscale/event"
 	"auburnscale/peer"
+	"auburnscale/quarantine"
 	"auburnscale/quorum"
 	"auburnscale/roster"
 	"auburnscale/storage"
@@ -32,7 +33,7 @@
 	v.Start()
 	t.Cleanup(v.Stop)
 	r := roster.New(clock.Now, time.Hour)
-	return NewServer("c1", v, r), v, r
+	return NewServer("c1", v, r, quarantine.NewEvidence(clock.Now, r, event.Nop())), v, r
 }
 
 func propose(t testing.TB, v *voter.Voter, version uint64) {
