Take a stream that ends inside an event for broken off in every framing

Cause: the end of the body was trusted where it was marked; only streams that end with their connection were checked. Change: a response that is an event stream must end with a complete event. Events may end with CRLF lines: such a stream was held until its end and refused if unframed. Before: TestStreamThatEndsInsideAnEvent failed for length and chunks, TestStreamInEveryFraming for close with CRLF.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"auburnscale/clock"
@@ -45,7 +46,18 @@
 	}
 }
 
-var eventTerminator = []byte("\n\n")
+// eventTerminators are the blank lines that end an event, by the line ends of the stream.
+var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+
+// completeEvents returns the length of the complete events at the start of data.
+func completeEvents(data []byte) (length int) {
+	for _, terminator := range eventTerminators {
+		if at := bytes.LastIndex(data, terminator); at >= 0 {
+			length = max(length, at+len(terminator))
+		}
+	}
+	return length
+}
 
 // A relay forwards a stream of server-sent events to the caller, from one target
 // after the other if the stream is resumed. Only complete events are forwarded, so
@@ -131,34 +143,39 @@
 
 var errIncompleteEvent = errors.New("stream ended before the end of an event")
 
-// finish handles the end of the response. An empty response is an error. Bytes after
-// the last complete event are forwarded only if the stream cannot be resumed and its
-// end is marked by a length or by chunked encoding.
+// finish handles the end of the response. A stream that is empty or ends inside an event has
+// been broken off, also if its framing says that it is complete. Only a response that is no
+// event stream is forwarded as it is, if its end is marked by a length or by chunked encoding.
 func (r *relay) finish(response *exchange.Response) error {
-	if !r.started && len(r.pending) == 0 {
+	switch {
+	case !r.started && len(r.pending) == 0:
 		return errIncompleteEvent
-	}
-	if len(r.pending) == 0 {
+	case len(r.pending) == 0:
 		return nil
-	}
-	if r.resumable || !response.Framed() {
+	case r.resumable || !response.Framed() || isEventStream(response.Header()):
 		return errIncompleteEvent
 	}
 	return r.write(response, nil)
 }
 
+// isEventStream reports whether the header announces a stream of events, as it does if it names
+// no type.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+}
+
 // forward appends data to the pending bytes and forwards the complete events among
 // them.
 func (r *relay) forward(response *exchange.Response, data []byte) error {
 	r.pending = append(r.pending, data...)
-	end := bytes.LastIndex(r.pending, eventTerminator)
-	if end < 0 {
+	end := completeEvents(r.pending)
+	if end == 0 {
 		if len(r.pending) > maxEventBytes {
 			return errEventTooLong
 		}
 		return nil
 	}
-	end += len(eventTerminator)
 	events := r.pending[:end]
 	r.recordLastID(events)
 	err := r.write(response, events)
