Quarantine messages under which engines crash on the OpenAI-style path too

Requests that share a message, no two alike, crash up to two engines each. Change: all messages but the last, or the prefix blocks of a plain prompt, are reported as in flight at confirmed crashes and checked before each dispatch; voters keep the evidence and pass decisions on with the heartbeats, at once. quarantine.Board is the control instance's side for both deployments; reports go by one RPC, from watch.SuspectReporter.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -13,6 +13,7 @@
 	"auburnscale/admit"
 	"auburnscale/engine"
 	"auburnscale/inventory"
+	"auburnscale/quarantine"
 	"auburnscale/target"
 )
 
@@ -65,6 +66,9 @@
 	deadline        time.Time
 	ticket          *admit.Ticket
 	reportedSuspect bool
+	// suspects holds the ids by which crashes of targets are explained.
+	suspects  []uint64
+	admission quarantine.Admission
 }
 
 // complete handles a completion request. It returns true if the response is streamed
@@ -80,6 +84,7 @@
 	background, cancel := context.WithDeadline(context.Background(), c.deadline)
 	if failure := s.admit(background, c); failure != nil {
 		cancel()
+		s.deps.Blocks.End(c.admission)
 		return false, failure
 	}
 	run := newRun(s, c, background, cancel)
@@ -124,7 +129,11 @@
 		return nil, failure
 	}
 	c.deadline = time.Now().Add(s.requestTimeout(ctx))
-	return c, s.checkQuarantine(c)
+	if failure := s.checkQuarantine(c); failure != nil {
+		return nil, failure
+	}
+	c.admission = s.deps.Blocks.Admit(c.suspects)
+	return c, quarantineFailure(c.admission)
 }
 
 // decodeBody decodes data twice: into the fields that the server uses, and into a map
@@ -156,7 +165,9 @@
 		return reject(fasthttp.StatusBadRequest, CodeBadRequest, fmt.Sprintf("max_tokens must be from 1 to %d", maxOutputTokens))
 	}
 	c.prefixBlocks = engine.PrefixBlocks(prompt, serviceSpec.BlockTokens, maxPrefixBlocks)
-	c.fingerprint = fmt.Sprintf("%s/%016x", c.identity.workspace.Name, xxhash.Sum64(data))
+	digest := xxhash.Sum64(data)
+	c.fingerprint = fmt.Sprintf("%s/%016x", c.identity.workspace.Name, digest)
+	c.suspects = suspectIDs(body, c.prefixBlocks, digest)
 	return nil
 }
 
--- a/caller/run.go
+++ b/caller/run.go
@@ -87,6 +87,9 @@
 
 // dispatch chooses a target and sends it the request.
 func (r *run) dispatch() *Failure {
+	if failure := r.checkSuspects(); failure != nil {
+		return failure
+	}
 	decision := r.request.service.Choose(route.Request{
 		PromptTokens: r.estimatedPromptTokens, OutputTokens: r.request.maxTokens, Blocks: r.request.prefixBlocks, BlockTokens: r.request.blockTokens, Avoid: r.avoid,
 	}, r.server.random())
@@ -201,6 +204,10 @@
 	if !r.server.deps.Registry.HasCrashed(r.ctx, t.Name(), r.incarnation) {
 		return failure
 	}
+	r.server.deps.Blocks.Crashed(t.Name(), r.incarnation, r.request.suspects)
+	if r.request.admission.Trial() {
+		return failure.withoutRetry()
+	}
 	if r.mayRetryAfterCrash() {
 		return failure
 	}
@@ -315,6 +322,7 @@
 // this request reported, if any.
 func (r *run) succeed() {
 	r.request.service.RecordSuccess(r.target)
+	r.server.deps.Blocks.Served(r.request.suspects)
 	if !r.request.reportedSuspect {
 		return
 	}
@@ -386,6 +394,7 @@
 	}
 	r.finished = true
 	r.releaseTarget()
+	r.server.deps.Blocks.End(r.request.admission)
 	r.request.ticket.Release()
 	r.cancel()
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -22,6 +22,7 @@
 	"auburnscale/member"
 	"auburnscale/peer"
 	"auburnscale/plainservice"
+	"auburnscale/quarantine"
 	"auburnscale/retry"
 	"auburnscale/target"
 	"auburnscale/usage"
@@ -74,6 +75,7 @@
 	Proposer       Proposer
 	Recorder       Recorder
 	Budget         *retry.Budget
+	Blocks         *quarantine.Blocks
 	Metrics        tally.Scope
 	MetricsHandler fasthttp.RequestHandler
 	Logger         *event.Logger
--- a/member/control_client.go
+++ b/member/control_client.go
@@ -32,6 +32,14 @@
 	Acknowledge(counters []*peer.Counter, settled []bool, term uint64)
 }
 
+// A SuspectSink takes the lists of suspect prompt blocks.
+type SuspectSink interface {
+	// Received takes over the list of an incarnation of a voter.
+	Received(server string, list []*peer.SuspectBlock)
+	// SetInstances sets the number of live instances.
+	SetInstances(n int)
+}
+
 const (
 	// minHeartbeatPause keeps a leader that responds immediately, without holding
 	// heartbeats, from being flooded.
@@ -57,10 +65,11 @@
 // A ControlClient sends the heartbeats of an instance to the control group and
 // keeps the View that the responses add up to. It is safe for concurrent use.
 type ControlClient struct {
-	config ControlClientConfig
-	dialer Dialer
-	usage  UsageSource
-	logger *event.Logger
+	config   ControlClientConfig
+	dialer   Dialer
+	usage    UsageSource
+	suspects SuspectSink
+	logger   *event.Logger
 
 	view atomic.Pointer[View]
 	// freshUntil is when the freshness that a leader granted ends, on clock.Now,
@@ -86,9 +95,9 @@
 
 // NewControlClient returns a client that has sent no heartbeat yet. onReplaced is
 // called once if a newer process has taken this instance's place.
-func NewControlClient(config ControlClientConfig, dialer Dialer, usage UsageSource, logger *event.Logger, onReplaced func()) *ControlClient {
+func NewControlClient(config ControlClientConfig, dialer Dialer, usage UsageSource, suspects SuspectSink, logger *event.Logger, onReplaced func()) *ControlClient {
 	c := &ControlClient{
-		config: config, dialer: dialer, usage: usage, logger: logger, onReplaced: onReplaced,
+		config: config, dialer: dialer, usage: usage, suspects: suspects, logger: logger, onReplaced: onReplaced,
 		wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	for id := range config.Voters {
@@ -251,6 +260,10 @@
 		return nil
 	}
 	c.applyResponse(response, sent)
+	if response.Suspects != nil {
+		c.suspects.SetInstances(c.View().Instances())
+		c.suspects.Received(response.Suspects.Server, response.Suspects.Blocks)
+	}
 	if response.Current {
 		c.usage.Acknowledge(counters, response.Settled, response.Term)
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -15,6 +15,7 @@
 	"auburnscale/control"
 	"auburnscale/delta"
 	"auburnscale/peer"
+	"auburnscale/quarantine"
 	"auburnscale/voter"
 )
 
@@ -30,7 +31,8 @@
 // current; it is rebuilt from heartbeats after a change of leader. It is safe for
 // concurrent use.
 type Table struct {
-	voter *voter.Voter
+	voter    *voter.Voter
+	suspects *quarantine.Board
 	// now is the clock for heartbeats and freshness: clock.Now except in tests.
 	now       func() time.Duration
 	interval  time.Duration
@@ -68,8 +70,8 @@
 
 // NewTable returns an empty table over the voter's state. interval is the heartbeat
 // interval, and freshness is how long a response permits an instance to serve.
-func NewTable(v *voter.Voter, now func() time.Duration, interval, freshness time.Duration) *Table {
-	return &Table{contacts: contact.New(maxMissedHeartbeats * interval), voter: v, now: now, interval: interval, freshness: freshness, rows: map[string]*row{}, counters: map[counterKey]*peer.Counter{}}
+func NewTable(v *voter.Voter, suspects *quarantine.Board, now func() time.Duration, interval, freshness time.Duration) *Table {
+	return &Table{suspects: suspects, contacts: contact.New(maxMissedHeartbeats * interval), voter: v, now: now, interval: interval, freshness: freshness, rows: map[string]*row{}, counters: map[counterKey]*peer.Counter{}}
 }
 
 // Sync handles one heartbeat. Any voter responds with the state that it has; only a
@@ -93,6 +95,7 @@
 		response.MembersDigest, response.Members = t.visibleMembers(request)
 		response.Instances = t.liveInstances()
 	}
+	response.Suspects = t.suspects.List()
 	// The lease is checked last: the state that was read above is current only if
 	// the lease was still held.
 	response.Current = current && t.voter.MayAct()
@@ -108,6 +111,7 @@
 	}
 	timer := time.NewTimer(t.interval)
 	defer timer.Stop()
+	decided, listed := t.suspects.Changes()
 	for {
 		changed := t.voter.Changed()
 		var revision uint64
@@ -117,6 +121,10 @@
 		}
 		select {
 		case <-changed:
+		case <-decided:
+			return
+		case <-listed:
+			return
 		case <-timer.C:
 			return
 		case <-ctx.Done():
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -20,7 +20,7 @@
 
 func newTable() (*Table, *fakeClock) {
 	c := &fakeClock{at: time.Hour}
-	return NewTable(nil, c.now, interval, freshness), c
+	return NewTable(nil, nil, c.now, interval, freshness), c
 }
 
 func (c *fakeClock) heartbeat(t *Table, instance string) {
--- a/member/view.go
+++ b/member/view.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	client := member.NewControlClient(config, dialer, usageSource, logger, onReplaced)
+//	client := member.NewControlClient(config, dialer, usageSource, suspects, logger, onReplaced)
 //	client.Start()
 //	view := client.View()
 package member
--- a/serve/control.go
+++ b/serve/control.go
@@ -74,6 +74,7 @@
 	voter          *voter.Voter
 	roster         *roster.Roster
 	replicaManager *replica.Manager
+	suspects       *quarantine.Board
 	watchServer    *watch.Server
 	loadAggregator *watch.LoadAggregator
 	loadMesh       *watch.LoadMesh
@@ -145,7 +146,8 @@
 		Incarnation: c.incarnation, Seed: uint64(clock.Now()), CompactEntries: compactEntries,
 	}, c.folder, c.senders, c.logger)
 	c.roster = roster.New(clock.Now, missedHeartbeatLimit*f.HeartbeatInterval.AsDuration())
-	c.watchServer = watch.NewServer(c.incarnation, c.voter, c.roster, quarantine.NewEvidence(clock.Now, c.roster, c.logger))
+	c.suspects = quarantine.NewBoard(c.incarnation, quarantine.NewEvidence(clock.Now, c.roster, c.logger))
+	c.watchServer = watch.NewServer(c.incarnation, c.voter, c.roster, c.suspects)
 	c.loadAggregator = watch.NewLoadAggregator(c.incarnation)
 	c.watchClient = watch.NewClient(self.Address, c.outboundClients.client, c, c.logger)
 	c.loadMesh = watch.NewLoadMesh(self.Address, c.loadAggregator, c.watchClient.Addresses, c.watchServer.Entries, c.outboundClients.client)
@@ -222,7 +224,7 @@
 	if err != nil {
 		return err
 	}
-	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, &controlPeerServer{NewVoterServer(c.voter, nil).(*peerServer), c}), nil)
+	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects).(*peerServer), c}), nil)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -105,11 +105,6 @@
 	return response, nil
 }
 
-// ReportSuspects adds an instance's report to the evidence on suspect blocks.
-func (s *controlPeerServer) ReportSuspects(_ context.Context, report *peer.SuspectReport) (*peer.SuspectList, error) {
-	return s.control.watchServer.ReportSuspects(report), nil
-}
-
 // Share exchanges the load that entry instances put on the targets.
 func (s *controlPeerServer) Share(_ context.Context, request *peer.ShareRequest) (*peer.ShareResponse, error) {
 	return s.control.loadAggregator.Exchange(request), nil
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -236,7 +236,7 @@
 	}
 	e.suspects.SetReported(reported)
 	e.blocks.SetInstances(int(response.Entries))
-	e.blocks.Received(response.Server, response.SuspectBlocks)
+	e.blocks.Received(response.Server, response.Suspects.GetBlocks())
 	newest := max(response.Version, response.Document.GetVersion())
 	if held := e.configurationVersion.Load(); response.Current && held > 0 && newest <= held {
 		e.leaderConfirmed.Store(true)
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -155,11 +155,6 @@
 	return nil, errNotInFleet
 }
 
-// ReportSuspects returns errNotInFleet.
-func (s *peerServer) ReportSuspects(context.Context, *peer.SuspectReport) (*peer.SuspectList, error) {
-	return nil, errNotInFleet
-}
-
 // Current returns errNotInFleet.
 func (s *peerServer) Current(context.Context, *peer.CurrentRequest) (*peer.CurrentResponse, error) {
 	return nil, errNotInFleet
--- a/serve/peer_server.go
+++ b/serve/peer_server.go
@@ -11,14 +11,16 @@
 	"auburnscale/control"
 	"auburnscale/member"
 	"auburnscale/peer"
+	"auburnscale/quarantine"
 	"auburnscale/voter"
 )
 
 // peerServer serves the peer protocol, which instances speak among each other.
-// voter and table are nil on an instance that is not a voter.
+// voter, table and suspects are nil on an instance that is not a voter.
 type peerServer struct {
 	voter         *voter.Voter
 	table         *member.Table
+	suspects      *quarantine.Board
 	counterHolder counterHolder
 }
 
@@ -29,8 +31,8 @@
 
 // NewVoterServer returns a peer protocol server for a voter that keeps no copies
 // of usage counters.
-func NewVoterServer(v *voter.Voter, table *member.Table) peer.Peer {
-	return &peerServer{voter: v, table: table, counterHolder: discardCounters{}}
+func NewVoterServer(v *voter.Voter, table *member.Table, suspects *quarantine.Board) peer.Peer {
+	return &peerServer{voter: v, table: table, suspects: suspects, counterHolder: discardCounters{}}
 }
 
 type discardCounters struct{}
@@ -78,6 +80,14 @@
 	return s.table.Sync(ctx, request)
 }
 
+// ReportSuspects adds an instance's report to the evidence on suspect prompt blocks.
+func (s *peerServer) ReportSuspects(_ context.Context, report *peer.SuspectReport) (*peer.SuspectList, error) {
+	if s.suspects == nil {
+		return nil, errNotVoter
+	}
+	return s.suspects.Report(report), nil
+}
+
 // Hold keeps a copy of another instance's usage counters.
 func (s *peerServer) Hold(_ context.Context, request *peer.HoldRequest) (*peer.HoldResponse, error) {
 	s.counterHolder.Hold(request.Counters)
--- a/serve/process.go
+++ b/serve/process.go
@@ -20,8 +20,11 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
+	randv2 "math/rand/v2"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -41,6 +44,7 @@
 	"auburnscale/peer"
 	"auburnscale/plainservice"
 	"auburnscale/platform"
+	"auburnscale/quarantine"
 	"auburnscale/quorum"
 	"auburnscale/retry"
 	"auburnscale/route"
@@ -50,6 +54,7 @@
 	"auburnscale/transport"
 	"auburnscale/usage"
 	"auburnscale/voter"
+	"auburnscale/watch"
 )
 
 const (
@@ -86,12 +91,16 @@
 	voter         *voter.Voter
 	table         *member.Table
 	controlClient *member.ControlClient
-	proposer      *member.Proposer
-	recorder      *usage.Recorder
-	registry      *target.Registry
-	leaderTasks   *authority.LeaderTasks
-	callerServer  *caller.Server
-	operator      *operator.Server
+	// suspects is nil on an instance that is not a voter.
+	suspects        *quarantine.Board
+	blocks          *quarantine.Blocks
+	suspectReporter *watch.SuspectReporter
+	proposer        *member.Proposer
+	recorder        *usage.Recorder
+	registry        *target.Registry
+	leaderTasks     *authority.LeaderTasks
+	callerServer    *caller.Server
+	operator        *operator.Server
 
 	failures chan error
 	replaced chan struct{}
@@ -156,7 +165,7 @@
 }
 
 func (p *Process) listenForPeers() error {
-	server := &peerServer{voter: p.voter, table: p.table, counterHolder: p.recorder}
+	server := &peerServer{voter: p.voter, table: p.table, suspects: p.suspects, counterHolder: p.recorder}
 	var err error
 	p.linkServer, err = transport.Listen(p.settings.Listen.Peer, transport.Handler(p.peerKey, server), p.certificates)
 	if err != nil {
@@ -173,6 +182,9 @@
 	return addresses
 }
 
+// voterPeers returns the peer addresses of the voters.
+func (p *Process) voterPeers() []string { return slices.Collect(maps.Values(p.voterAddresses())) }
+
 func (p *Process) buildControl() error {
 	if p.settings.Voter.ID == 0 {
 		return nil
@@ -188,17 +200,20 @@
 		Limits: control.Limits{ClaimRetain: p.settings.Control.ClaimRetain.AsDuration()}, Incarnation: p.incarnation,
 		Seed: uint64(time.Now().UnixNano()),
 	}, folder, p.senders, p.logger)
-	p.table = member.NewTable(p.voter, clock.Now, p.settings.Control.SyncInterval.AsDuration(), p.settings.Control.Freshness.AsDuration())
+	p.suspects = quarantine.NewBoard(p.incarnation, quarantine.NewEvidence(clock.Now, nil, p.logger))
+	p.table = member.NewTable(p.voter, p.suspects, clock.Now, p.settings.Control.SyncInterval.AsDuration(), p.settings.Control.Freshness.AsDuration())
 	return nil
 }
 
 func (p *Process) buildMembership() {
+	p.blocks = quarantine.NewBlocks(clock.Now, randv2.Float64, p.logger)
 	p.recorder = usage.New(p.incarnation, p.settings.Instance, p.settings.Platform.UsageWindow.AsDuration(), p.client, p.logger)
 	p.controlClient = member.NewControlClient(member.ControlClientConfig{
 		Instance: p.settings.Instance, Incarnation: p.incarnation, FailureDomain: p.settings.FailureDomain,
 		Address: p.settings.Listen.Peer, Interval: p.settings.Control.SyncInterval.AsDuration(),
 		Freshness: p.settings.Control.Freshness.AsDuration(), Voters: p.voterAddresses(),
-	}, p.client, p.recorder, p.logger, func() { close(p.replaced) })
+	}, p.client, p.recorder, p.blocks, p.logger, func() { close(p.replaced) })
+	p.suspectReporter = watch.NewSuspectReporter(p.incarnation, p.voterPeers, p.client, p.blocks)
 	p.proposer = member.NewProposer(p.controlClient, p.client, p.voter)
 }
 
@@ -243,7 +258,7 @@
 	}
 	p.callerServer = caller.New(config, caller.Dependencies{
 		Views: p.controlClient, Registry: p.registry, Engines: engines, Services: plainservice.New(p.dialer, p.settings.Caller.BodyBytes),
-		Proposer: p.proposer, Recorder: p.recorder, Budget: retry.NewBudget(p.settings.Policy.Retries, p.settings.Policy.RetryShare),
+		Proposer: p.proposer, Recorder: p.recorder, Budget: retry.NewBudget(p.settings.Policy.Retries, p.settings.Policy.RetryShare), Blocks: p.blocks,
 		Metrics: scope, MetricsHandler: scrape, Logger: p.logger,
 	})
 	return p.callerServer.Listen(p.settings.Listen.Caller)
@@ -291,6 +306,7 @@
 	go p.runLinkServer()
 	p.recorder.Start(p.controlClient)
 	p.controlClient.Start()
+	p.suspectReporter.Start()
 	p.registry.Start()
 	if p.leaderTasks != nil {
 		p.leaderTasks.Start()
@@ -319,6 +335,7 @@
 	p.controlClient.Wake()
 	open := p.callerServer.Stop(p.settings.Control.DrainNotice.AsDuration(), p.settings.Control.StopLimit.AsDuration())
 	p.recorder.Stop()
+	p.suspectReporter.Stop()
 	p.controlClient.Stop()
 	p.leaveGroup()
 	if p.leaderTasks != nil {
--- a/slope/control.go
+++ b/slope/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -21,6 +22,7 @@
 	"auburnscale/event"
 	"auburnscale/member"
 	"auburnscale/peer"
+	"auburnscale/quarantine"
 	"auburnscale/quorum"
 	"auburnscale/serve"
 	"auburnscale/storage"
@@ -83,8 +85,9 @@
 		ID: id, InitialVoters: []uint64{1, 2, 3}, Timing: quorum.DefaultTiming, Seed: id,
 		Limits: control.Limits{ClaimRetain: time.Hour}, Incarnation: fmt.Sprint("voter", id),
 	}, folder, senders, event.Nop())
-	table := member.NewTable(v, clock.Now, heartbeatInterval, freshness)
-	server, err := transport.Listen(g.addresses[id], transport.Handler(linkKey, serve.NewVoterServer(v, table)), nil)
+	suspects := quarantine.NewBoard(fmt.Sprint("voter", id), quarantine.NewEvidence(clock.Now, nil, event.Nop()))
+	table := member.NewTable(v, suspects, clock.Now, heartbeatInterval, freshness)
+	server, err := transport.Listen(g.addresses[id], transport.Handler(linkKey, serve.NewVoterServer(v, table, suspects)), nil)
 	if err != nil {
 		return err
 	}
@@ -174,7 +177,7 @@
 		c := member.NewControlClient(member.ControlClientConfig{
 			Instance: fmt.Sprintf("i%d", i), Incarnation: fmt.Sprintf("n%d", i), FailureDomain: fmt.Sprintf("d%d", i%6),
 			Address: fmt.Sprintf("10.0.%d.%d:7101", i/250, i%250), Interval: heartbeatInterval, Freshness: freshness, Voters: g.addresses,
-		}, client, emptyUsage{}, event.Nop(), nil)
+		}, client, emptyUsage{}, quarantine.NewBlocks(clock.Now, rand.Float64, event.Nop()), event.Nop(), nil)
 		c.Start()
 		g.clients = append(g.clients, c)
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -72,6 +73,7 @@
 // An Engine represents a stand-in model engine.
 type Engine struct {
 	server
+	crashed     atomic.Bool
 	config      EngineConfig
 	incarnation string
 
@@ -165,7 +167,11 @@
 	e.server.Kill()
 }
 
+// Crashed reports whether one of the configured faults made the engine crash.
+func (e *Engine) Crashed() bool { return e.crashed.Load() }
+
 func (e *Engine) crash() {
+	e.crashed.Store(true)
 	e.Kill()
 	if e.config.OnCrash != nil {
 		e.config.OnCrash()
--- a/watch/server.go
+++ b/watch/server.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	server := watch.NewServer(incarnation, voter, roster, evidence)
+//	server := watch.NewServer(incarnation, voter, roster, board)
 //	response := server.Watch(ctx, request)
 //	client := watch.NewClient(self, dialer, sink, logger)
 //	client.SetSeeds(addresses)
@@ -73,7 +73,7 @@
 	incarnation string
 	voter       *voter.Voter
 	roster      *roster.Roster
-	evidence    *quarantine.Evidence
+	suspects    *quarantine.Board
 	// now is clock.Now except in tests.
 	now func() time.Duration
 
@@ -85,11 +85,8 @@
 	// suspicions holds crash reports by request fingerprint and by the reporting
 	// incarnation.
 	suspicions map[uint64]map[string]crashReport
-	// suspicionsChanged is closed, and replaced, when a crash count changes or a block is
-	// quarantined or released.
+	// suspicionsChanged is closed, and replaced, when a crash count changes.
 	suspicionsChanged chan struct{}
-	// suspectsListed is closed, and replaced, when evidence lists other suspect blocks.
-	suspectsListed chan struct{}
 	// medianOffset is the median of the instances' wall clocks minus this instance's
 	// clock, as of medianAt.
 	medianOffset, medianAt time.Duration
@@ -119,11 +116,10 @@
 
 // NewServer returns the server for a control instance with the given
 // incarnation.
-func NewServer(incarnation string, v *voter.Voter, r *roster.Roster, evidence *quarantine.Evidence) *Server {
+func NewServer(incarnation string, v *voter.Voter, r *roster.Roster, suspects *quarantine.Board) *Server {
 	return &Server{
-		incarnation: incarnation, voter: v, roster: r, evidence: evidence, now: clock.Now, contacts: contact.New(watcherTimeout), watchers: map[string]*watcher{}, counters: map[counterKey]int64{},
+		incarnation: incarnation, voter: v, roster: r, suspects: suspects, now: clock.Now, contacts: contact.New(watcherTimeout), watchers: map[string]*watcher{}, counters: map[counterKey]int64{},
 		suspicions: map[uint64]map[string]crashReport{}, suspicionsChanged: make(chan struct{}),
-		suspectsListed: make(chan struct{}),
 	}
 }
 
@@ -193,8 +189,9 @@
 	timer := time.NewTimer(holdOf(request))
 	defer timer.Stop()
 	s.mutex.Lock()
-	suspicionsChanged, suspectsListed, watchers := s.suspicionsChanged, s.suspectsListed, len(s.watchers)
+	suspicionsChanged, watchers := s.suspicionsChanged, len(s.watchers)
 	s.mutex.Unlock()
+	blocksDecided, blocksListed := s.suspects.Changes()
 	rows := s.roster.Changed()
 	if s.roster.Snapshot().Revision() != request.Roster {
 		rows = nil
@@ -211,12 +208,14 @@
 			// domain is ordered.
 			rows = nil
 			timer.Reset(batchDelay(request.Control, watchers))
-		case <-suspectsListed:
-			suspectsListed = nil
+		case <-blocksListed:
+			blocksListed = nil
 			timer.Reset(batchDelay(request.Control, watchers))
 		case <-changed:
 		case <-suspicionsChanged:
 			return
+		case <-blocksDecided:
+			return
 		case <-timer.C:
 			return
 		case <-ctx.Done():
@@ -286,28 +285,11 @@
 	response.WallMs = s.medianTimeLocked().Milliseconds()
 	response.Suspicions = s.suspicionsLocked()
 	if !request.Control {
-		response.SuspectBlocks = s.evidence.List()
+		response.Suspects = s.suspects.List()
 	}
 	return response
 }
 
-// ReportSuspects adds what an instance reports to the evidence and returns the suspect blocks.
-// Polling instances learn at once what is decided by it.
-func (s *Server) ReportSuspects(report *peer.SuspectReport) *peer.SuspectList {
-	listed, decided := s.evidence.Record(report)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if decided {
-		close(s.suspicionsChanged)
-		s.suspicionsChanged = make(chan struct{})
-	}
-	if listed {
-		close(s.suspectsListed)
-		s.suspectsListed = make(chan struct{})
-	}
-	return &peer.SuspectList{Server: s.incarnation, Blocks: s.evidence.List()}
-}
-
 // entriesLocked returns the number of live entry instances and removes watchers
 // that timed out.
 func (s *Server) entriesLocked() int32 {
--- a/watch/server_test.go
+++ b/watch/server_test.go
@@ -17,7 +17,7 @@
 // resumption being taken for the only live one: the usage figures would count as
 // complete and the entry instance would get the whole retry budget.
 func TestSuspendedServerKeepsEntries(t *testing.T) {
-	s := NewServer("one", nil, nil, quarantine.NewEvidence(clock.Now, nil, event.Nop()))
+	s := NewServer("one", nil, nil, quarantine.NewBoard("one", quarantine.NewEvidence(clock.Now, nil, event.Nop())))
 	at := time.Hour
 	s.now = func() time.Duration { return at }
 	contact := func(incarnation string, begun int64) {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -33,7 +33,7 @@
 	v.Start()
 	t.Cleanup(v.Stop)
 	r := roster.New(clock.Now, time.Hour)
-	return NewServer("c1", v, r, quarantine.NewEvidence(clock.Now, r, event.Nop())), v, r
+	return NewServer("c1", v, r, quarantine.NewBoard("c1", quarantine.NewEvidence(clock.Now, r, event.Nop()))), v, r
 }
 
 func propose(t testing.TB, v *voter.Voter, version uint64) {
