Do not refuse requests that are served for failures of identical ones

Cause: the older quarantine of requests counts any three failures of identical requests in a minute, summed over all instances, and a served request clears only the instance's own. Callers that send identical requests, as those of a popular resource do, are refused everywhere when a few of them were in flight at crashes. Change: an instance that has served the request within ten minutes leaves it to the crash evidence, which fingerprints of all requests now take part in; control instances do not pass on failures of requests that an instance reports as served. Before: TestServedRequestIsNotQuarantinedForFailures failed (503).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,7 +29,7 @@
 	prompt        route.Prompt
 	fingerprint   uint64
 	// suspects holds the ids by which crashes of targets are explained: those of the prompt
-	// blocks that other requests may share, and the fingerprint. It is empty without a prompt.
+	// blocks that other requests may share, and the fingerprint.
 	suspects  []uint64
 	admission quarantine.Admission
 	arrived   time.Time
@@ -139,7 +139,8 @@
 // run attempts the request until a response has been sent to the caller. It
 // returns a failure if no further attempt is allowed or possible.
 func (c *call) run() *failure {
-	if wait, poisoned := c.server.deps.Suspects.Quarantined(c.fingerprint); poisoned {
+	// Identical requests that were served here fail for another reason than their content.
+	if wait, poisoned := c.server.deps.Suspects.Quarantined(c.fingerprint); poisoned && !c.server.deps.Blocks.Proven(c.fingerprint) {
 		return refuse(http.StatusServiceUnavailable, "quarantined", "targets failed repeatedly while running this request").withRetryAfter(wait)
 	}
 	for range maxAttempts {
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -129,12 +129,9 @@
 const maxSuspectBlocks = 64
 
 // suspectIDs returns the ids of the shared blocks of the prompt, in order, and the
-// fingerprint; none for a request without a prompt.
+// fingerprint.
 func (c *call) suspectIDs() []uint64 {
 	shared := sharedBlocks(c.info)
-	if len(c.info.Blocks) == 0 {
-		return nil
-	}
 	ids := make([]uint64, 0, min(len(shared), maxSuspectBlocks)+1)
 	for _, block := range shared[:min(len(shared), maxSuspectBlocks)] {
 		ids = append(ids, block.ID)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -128,3 +128,20 @@
 		})
 	}
 }
+
+// TestServedRequestIsNotQuarantinedForFailures guards against refusing identical requests, as
+// callers of a popular resource send them, because some of them failed when targets crashed: one
+// that was served before is no reason of the failures.
+func TestServedRequestIsNotQuarantinedForFailures(t *testing.T) {
+	f := newFixture(t, 2)
+	response, _ := f.send(http.MethodPost, "/orders/popular")
+	require.Equal(t, http.StatusOK, response.status)
+	for _, target := range f.targets {
+		target.Script(standin.Reset, standin.Reset, standin.Reset)
+	}
+	for range 6 {
+		f.send(http.MethodPost, "/orders/popular")
+	}
+	response, _ = f.send(http.MethodPost, "/orders/popular")
+	require.Equal(t, http.StatusOK, response.status, response.body)
+}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -153,6 +153,14 @@
 	return list
 }
 
+// Proven reports whether an instance reported that it served a request with the block.
+func (e *Evidence) Proven(block uint64) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	at, ok := e.sound[block]
+	return ok && e.now()-at < soundTTL
+}
+
 func (e *Evidence) describe(l listedBlock, now time.Duration) *peer.SuspectBlock {
 	_, proven := e.sound[l.block]
 	d := &peer.SuspectBlock{Block: l.block, Crashes: int32(l.crashes), AgeMs: (now - l.at).Milliseconds(), Proven: proven}
--- a/watch/server.go
+++ b/watch/server.go
@@ -340,7 +340,8 @@
 }
 
 // suspicionsLocked returns the suspicions with crash counts summed over all
-// incarnations and removes expired ones.
+// incarnations and removes expired ones. Requests that were also served are left out: their
+// failures have another cause, or the board decides.
 func (s *Server) suspicionsLocked() []*peer.Suspicion {
 	now := s.now()
 	var list []*peer.Suspicion
@@ -355,6 +356,9 @@
 			delete(s.suspicions, fingerprint)
 			continue
 		}
+		if s.suspects.Proven(fingerprint) {
+			continue
+		}
 		each.AgeMs = (now - newest).Milliseconds()
 		list = append(list, each)
 	}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -129,6 +130,42 @@
 	require.EqualValues(t, 2, response.Entries)
 }
 
+// TestServedRequestsAreNotSuspicious guards against refusing identical requests at all instances
+// because some of them failed: those that an instance reports as served are not passed on.
+func TestServedRequestsAreNotSuspicious(t *testing.T) {
+	s, _, _ := newServer(t)
+	request := newRequest("e1")
+	request.Suspicions = []*peer.Suspicion{{Fingerprint: 7, Crashes: 3}, {Fingerprint: 8, Crashes: 3}}
+	s.recordRequest(request)
+	s.suspects.Report(&peer.SuspectReport{Sound: []*peer.SoundBlock{{Block: 7, AgeMs: 5000}}})
+	response := s.response(newRequest("e2"))
+	require.Len(t, response.Suspicions, 1)
+	require.EqualValues(t, 8, response.Suspicions[0].Fingerprint)
+}
+
+// TestSuspectBlocksWakeAllInstances checks that a poll that is held returns with a block as soon
+// as that is quarantined, and that control instances are not told.
+func TestSuspectBlocksWakeAllInstances(t *testing.T) {
+	s, _, _ := newServer(t)
+	first := s.Watch(t.Context(), newRequest("e1"))
+	held := newRequest("e1")
+	held.Server, held.Roster, held.HoldMs = first.Server, first.Roster, MaxHold.Milliseconds()
+	got := make(chan *peer.WatchResponse, 1)
+	began := time.Now()
+	go func() { got <- s.Watch(t.Context(), held) }()
+	time.Sleep(50 * time.Millisecond)
+	for n, age := range []int64{900, 600, 0} {
+		s.suspects.Report(&peer.SuspectReport{Crashed: []*peer.CrashedRequest{{Target: fmt.Sprint("t", n), AgeMs: age, Blocks: []uint64{7}}}})
+	}
+	response := <-got
+	require.Less(t, time.Since(began), MinHold)
+	require.Len(t, response.Suspects.Blocks, 1)
+	require.True(t, response.Suspects.Blocks[0].Quarantined)
+	control := newRequest("c2")
+	control.Control = true
+	require.Nil(t, s.response(control).Suspects)
+}
+
 func TestAggregatorSumsOtherEntries(t *testing.T) {
 	aggregator := NewLoadAggregator("c")
 	exchange := func(incarnation string, tokens int64) *peer.ShareResponse {
