Teach a restarted control instance the quarantined blocks at once

Cause: the reporter took the control instance at an address for the incarnation that had last taken a report. Change: the incarnation comes from the polls.

--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -253,3 +253,21 @@
 	r.UpdateTarget(row("e1", "1:2", 60, 1))
 	require.Equal(t, peer.TargetRow_READY, state(r, "e1"), "an incarnation after the deregistration is ready")
 }
+
+// TestHeardSince checks what proves that a target did not crash: a later heartbeat of the same
+// start, or its announcement that it ends.
+func TestHeardSince(t *testing.T) {
+	r, clock := newRoster()
+	r.UpdateTarget(row("e1", "1:1", 10, 1))
+	crashed := clock.at + time.Millisecond
+	require.False(t, r.HeardSince("e1", "10", crashed))
+	clock.at += time.Second
+	r.UpdateTarget(row("e1", "1:1", 10, 2))
+	require.True(t, r.HeardSince("e1", "10", crashed))
+	require.False(t, r.HeardSince("e1", "9", crashed), "an earlier start")
+	require.False(t, r.HeardSince("unknown", "10", crashed))
+	crashed = clock.at + time.Millisecond
+	require.False(t, r.HeardSince("e1", "10", crashed))
+	r.MarkLeaving("e1", 10)
+	require.True(t, r.HeardSince("e1", "10", crashed), "it leaves")
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -114,7 +114,7 @@
 	out.dialer.OnDropped(e.logDroppedConnection)
 	e.watchClient = watch.NewClient("", out.client, e, logger)
 	e.loadExchanger = watch.NewLoadExchanger(e.incarnation, s.FailureDomain, e.watchClient, out.client, e.fleets)
-	e.suspectReporter = watch.NewSuspectReporter(e.incarnation, e.watchClient.Addresses, out.client, e.blocks)
+	e.suspectReporter = watch.NewSuspectReporter(e.incarnation, e.watchClient.Servers, out.client, e.blocks)
 	e.gateway = gateway.New(gateway.Config{
 		RequestAddress: f.RequestAddress, ReadinessAddress: f.ReadinessAddress, StopNotice: min(shutdownNotice, f.StopGrace.AsDuration()/3), StopTimeout: f.StopGrace.AsDuration(),
 	}, gateway.Dependencies{
--- a/serve/process.go
+++ b/serve/process.go
@@ -20,11 +20,9 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"maps"
 	randv2 "math/rand/v2"
 	"net/netip"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
@@ -182,8 +180,14 @@
 	return addresses
 }
 
-// voterPeers returns the peer addresses of the voters.
-func (p *Process) voterPeers() []string { return slices.Collect(maps.Values(p.voterAddresses())) }
+// voterPeers returns the peer addresses of the voters. Their incarnations are not known here.
+func (p *Process) voterPeers() map[string]string {
+	voters := map[string]string{}
+	for _, address := range p.voterAddresses() {
+		voters[address] = ""
+	}
+	return voters
+}
 
 func (p *Process) buildControl() error {
 	if p.settings.Voter.ID == 0 {
--- a/watch/client.go
+++ b/watch/client.go
@@ -65,6 +65,8 @@
 	// domains holds the failure domain of each control instance that responded, by its
 	// address.
 	domains map[string]string
+	// servers holds the incarnation of each control instance that responded, by its address.
+	servers map[string]string
 	// source is the control instance that configuration documents come from.
 	source documentSource
 }
@@ -90,7 +92,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		self: self, dialer: dialer, sink: sink, logger: logger, ctx: ctx, cancel: cancel,
-		loops: map[string]*pollLoop{}, seeds: map[string]bool{}, advertised: map[string]bool{}, domains: map[string]string{}, source: documentSource{timeout: sourceTimeout},
+		loops: map[string]*pollLoop{}, seeds: map[string]bool{}, advertised: map[string]bool{}, domains: map[string]string{}, servers: map[string]string{}, source: documentSource{timeout: sourceTimeout},
 	}
 }
 
@@ -132,10 +134,22 @@
 	return maps.Clone(c.domains)
 }
 
-func (c *Client) recordDomain(address, domain string) {
+// Servers returns the incarnations of the control instances being polled by peer address; empty
+// for those that have not responded.
+func (c *Client) Servers() map[string]string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.domains[address] = domain
+	servers := make(map[string]string, len(c.loops))
+	for address := range c.loops {
+		servers[address] = c.servers[address]
+	}
+	return servers
+}
+
+func (c *Client) recordResponder(address string, response *peer.WatchResponse) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.domains[address], c.servers[address] = response.ResponderDomain, response.Server
 }
 
 // ControlReplicas returns the members of the control group as last listed by a
@@ -184,6 +198,7 @@
 	}
 	delete(c.loops, l.address)
 	delete(c.domains, l.address)
+	delete(c.servers, l.address)
 	return true
 }
 
@@ -229,11 +244,11 @@
 	}
 	l.failures, l.unreachable = 0, false
 	l.counters.acknowledge(response.Server, begun, request.Begun)
+	l.client.recordResponder(l.address, response)
 	l.client.sink.HandleResponse(response)
 	if response.Full || l.server == response.Server {
 		l.server, l.roster = response.Server, response.Roster
 	}
-	l.client.recordDomain(l.address, response.ResponderDomain)
 	l.client.updateReplicas(response)
 	l.client.noteReceived(response.Document.GetVersion())
 	if response.Version > request.Version && request.Spare {
--- a/watch/suspect_reporter.go
+++ b/watch/suspect_reporter.go
@@ -39,12 +39,12 @@
 // soon as there are any.
 type SuspectReporter struct {
 	incarnation string
-	addresses   func() []string
+	controls    func() map[string]string
 	dialer      Dialer
 	source      SuspectSource
 
 	mutex sync.Mutex
-	// servers holds the last known incarnation of the control instance at an address.
+	// servers holds the incarnations of the control instances that took reports, by address.
 	servers map[string]string
 	// busy holds the addresses to which a report is under way.
 	busy map[string]bool
@@ -55,11 +55,11 @@
 	group    sync.WaitGroup
 }
 
-// NewSuspectReporter returns a reporter of the incarnation of an instance. addresses returns
-// the peer addresses of the control instances.
-func NewSuspectReporter(incarnation string, addresses func() []string, dialer Dialer, source SuspectSource) *SuspectReporter {
+// NewSuspectReporter returns a reporter of the incarnation of an instance. controls returns the
+// incarnations of the control instances by peer address, empty if unknown.
+func NewSuspectReporter(incarnation string, controls func() map[string]string, dialer Dialer, source SuspectSource) *SuspectReporter {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &SuspectReporter{incarnation: incarnation, addresses: addresses, dialer: dialer, source: source, servers: map[string]string{}, busy: map[string]bool{}, failedAt: map[string]time.Duration{}, ctx: ctx, cancel: cancel}
+	return &SuspectReporter{incarnation: incarnation, controls: controls, dialer: dialer, source: source, servers: map[string]string{}, busy: map[string]bool{}, failedAt: map[string]time.Duration{}, ctx: ctx, cancel: cancel}
 }
 
 // Start sends reports in the background.
@@ -101,8 +101,10 @@
 func (r *SuspectReporter) sendAll() (pending bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, address := range r.addresses() {
-		server := r.servers[address]
+	for address, server := range r.controls() {
+		if server == "" {
+			server = r.servers[address]
+		}
 		report, position := r.source.Report(server)
 		if report == nil {
 			continue
