Play a block that crashes engines in the soak

Checked are both bounds: three late requests at most, sound ones served half as often as before, at least, outside other faults.

--- a/soak/check.go
+++ b/soak/check.go
@@ -48,7 +48,7 @@
 func (h *History) Check(b Bounds) []Finding {
 	var list []Finding
 	checks := []func(Bounds, func(invariant, format string, args ...any)){
-		h.checkExecutions, h.checkResponses, h.checkArrivals, h.checkVersions, h.checkConfigReads, h.checkStops, h.checkDrains, h.checkLeaderTasks, h.checkRecovery,
+		h.checkExecutions, h.checkResponses, h.checkArrivals, h.checkVersions, h.checkConfigReads, h.checkStops, h.checkDrains, h.checkLeaderTasks, h.checkRecovery, h.checkBlock,
 	}
 	for _, check := range checks {
 		check(b, func(invariant, format string, args ...any) {
@@ -257,7 +257,7 @@
 	}
 	sent, served := 0, 0
 	for _, a := range h.Attempts {
-		if a.Version == 0 && a.Started.After(h.RecoveryDue) {
+		if a.Version == 0 && !a.CrashingBlock && a.Started.After(h.RecoveryDue) {
 			sent++
 			if a.Response.Status == http.StatusOK && a.Response.Complete {
 				served++
--- a/soak/env.go
+++ b/soak/env.go
@@ -70,6 +70,9 @@
 	faults   sync.WaitGroup
 	mutex    sync.Mutex
 	findings []Finding
+	// blockBegun is true once callers send prompts with crashingBlock, closed once the run has
+	// ended.
+	blockBegun, closed atomic.Bool
 	// lastDataLoss is when the instance that last lost its data folder is
 	// started again.
 	lastDataLoss time.Time
@@ -205,6 +208,12 @@
 		c := newCaller(e, n)
 		e.group.Go(func() { c.run(ctx) })
 	}
+	if at, ok := blockStart(e.config.Seed, e.config.Span); ok {
+		e.group.Go(func() {
+			e.sleep(ctx, at)
+			e.blockBegun.Store(true)
+		})
+	}
 	r := &configReader{env: e}
 	e.group.Go(func() { r.run(ctx) })
 }
@@ -266,6 +275,7 @@
 }
 
 func (e *env) close() {
+	e.closed.Store(true)
 	for _, i := range e.instances() {
 		if i.done() != nil {
 			i.kill()
--- a/soak/history.go
+++ b/soak/history.go
@@ -13,6 +13,8 @@
 	Route string
 	// AtMostOnce is true if the request may run once at most.
 	AtMostOnce bool
+	// Stream is true for streams with a prompt, CrashingBlock if that has crashingBlock.
+	Stream, CrashingBlock bool
 	// Entry is the entry instance that the request was sent to, Incarnation the
 	// number of that instance's starts by then.
 	Entry       string
@@ -56,6 +58,8 @@
 	Workspace string
 	Key       string
 	At        time.Time
+	// CrashingBlock is true if the prompt has crashingBlock.
+	CrashingBlock bool
 }
 
 // A History represents all that callers, targets, the operator and the platform
@@ -80,6 +84,8 @@
 	PlannedStops []Span
 	Drains       []Span
 	FaultSpans   []Span
+	// TargetCrashes are the crashes under crashingBlock, until the next start of the target.
+	TargetCrashes []Span
 	// LastFaultEnd is when the last fault ended. RecoveryDue is the time from
 	// which on requests must be served again.
 	LastFaultEnd, RecoveryDue time.Time
@@ -150,7 +156,16 @@
 
 // faultFree reports whether no unplanned fault overlapped the interval.
 func (h *History) faultFree(from, to time.Time) bool {
-	for _, s := range h.FaultSpans {
+	return h.undisturbed(from, to) && outside(h.TargetCrashes, from, to)
+}
+
+// undisturbed reports whether no unplanned fault but crashes under crashingBlock overlapped the
+// interval.
+func (h *History) undisturbed(from, to time.Time) bool { return outside(h.FaultSpans, from, to) }
+
+// outside reports whether none of the spans overlapped the interval.
+func outside(spans []Span, from, to time.Time) bool {
+	for _, s := range spans {
 		if s.From.Before(to) && s.To.After(from) {
 			return false
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -145,6 +145,25 @@
 			call(h, "usage", "a", "7 map[guild:1]", 4, 1)
 			call(h, "usage", "a", "7 map[guild:2]", 4, 2)
 		}},
+		{"few requests reach targets after a block crashed them", "four", func(h *History) {
+			crashesAt(h, 2, 2.5, 3, 3.5, 4)
+			for n := range 4 {
+				h.Arrivals = append(h.Arrivals, Arrival{Target: "i", ID: fmt.Sprint("bad", n), Workspace: workspaceName, At: atSecond(7.1 + float64(n)), CrashingBlock: true})
+			}
+		}},
+		{"sound requests go on beside a crashing block", "all refused", func(h *History) {
+			crashesAt(h, 5, 5.5, 6)
+			for n := range minCompared {
+				for _, at := range []float64{1, 13} {
+					a := servedAttempt(fmt.Sprint("sound", n, at), at)
+					a.Stream = true
+					if at > 5 {
+						a.Response.Status = http.StatusServiceUnavailable
+					}
+					h.Attempts = append(h.Attempts, a)
+				}
+			}
+		}},
 		{"processes do not exit by themselves", "exit", func(h *History) { h.UnexpectedExits = []string{"entry0 ended"} }},
 		{"service recovers", "nothing served", func(h *History) { h.Attempts[0].Response.Status = 503; h.Runs = map[string]int{} }},
 		{"acknowledged changes are not lost", "older version read after the last fault", func(h *History) {
@@ -163,6 +182,12 @@
 	}
 }
 
+func crashesAt(h *History, seconds ...float64) {
+	for _, at := range seconds {
+		h.TargetCrashes = append(h.TargetCrashes, Span{From: atSecond(at), To: atSecond(at + 0.8)})
+	}
+}
+
 // TestCheckAllowsFaultEffects checks that effects of an unplanned fault are no
 // findings: late requests to a draining target, a late change, and a late call of
 // the earlier lease holder.
--- a/soak/target.go
+++ b/soak/target.go
@@ -60,6 +60,7 @@
 	current.SetPause(responseDelay)
 	if t.stage != "" {
 		current.SetEngine(t.stage, t.env.actions)
+		t.armCrash(current)
 	}
 	if err := current.Listen(t.env.at(t.host, targetPort+listenPortOffset).String()); err != nil {
 		return err
@@ -197,7 +198,7 @@
 			if seen.ID == "" || seen.Method != http.MethodPost || seen.Expect != "" && seen.Expect != s.ID() {
 				continue
 			}
-			h.Arrivals = append(h.Arrivals, Arrival{Target: incarnationName(s.ID(), i+1), ID: seen.ID, Workspace: seen.Tenant, Key: seen.Key, At: seen.At})
+			h.Arrivals = append(h.Arrivals, Arrival{Target: incarnationName(s.ID(), i+1), ID: seen.ID, Workspace: seen.Tenant, Key: seen.Key, At: seen.At, CrashingBlock: standin.HasSharedBlock(seen.Blocks, crashingBlock)})
 		}
 	}
 }
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -72,6 +72,10 @@
 	call.Path = a.Route + "x"
 	a.AtMostOnce = a.Route == "/orders/" || a.Route == "/streams/"
 	call.HasPrompt = a.Route == "/streams/" || a.Route == "/tales/"
+	a.Stream = call.HasPrompt
+	if call.HasPrompt && c.env.hasCrashingBlock() && c.random.IntN(crashingInterval) == 0 {
+		call.Block, a.CrashingBlock = crashingBlock, true
+	}
 	a.Response = c.client.Do(ctx, c.env.at(c.entry.host, entryPort).String(), call)
 	if a.Response.Status == http.StatusOK && a.Response.Complete {
 		a.Defect = defectOf(a.Response, call)
