Leave the quarantine of blocks to control instances where they respond

Cause: an instance quarantined blocks by its own crashes at once, without knowing which targets still send heartbeats, and told its decision to control instances that did not share it, from where it would have spread. Found by reading, with connections that living targets end in mind. Change: an instance decides alone only after 5 s without any control instance's list, and does not pass such a decision on. Before: TestInstanceLeavesTheDecisionToControlInstances failed. After: passes.

--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -32,6 +32,9 @@
 	soundGeneration = 8192
 	// viewTTL is how long the list of a control instance that no longer responds is kept.
 	viewTTL = 30 * time.Second
+	// aloneAfter is the time without a list of any control instance after which this instance
+	// decides by its own crashes. It cannot tell as well which targets are alive.
+	aloneAfter = 5 * time.Second
 )
 
 // Blocks holds the blocks that this instance refuses requests for, and what it has to report.
@@ -62,6 +65,8 @@
 	// trialAt is when this instance lets a single request through.
 	trialAt time.Duration
 	trying  bool
+	// own is true if this instance decided alone.
+	own bool
 }
 
 type crashReport struct {
@@ -198,10 +203,22 @@
 	}
 	b.extendHolds(blocks)
 	b.own.Record(&peer.SuspectReport{Crashed: []*peer.CrashedRequest{request}, Sound: b.soundAmong(blocks)})
-	b.merge(b.own.List())
+	if b.alone() {
+		b.merge(b.own.List(), true)
+	}
 	b.notify()
 }
 
+// alone reports whether no control instance has sent a list lately.
+func (b *Blocks) alone() bool {
+	for _, v := range b.views {
+		if b.now()-v.at < aloneAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // extendHolds refuses quarantined blocks under which a target has just crashed for as long as
 // before. The control instances will count the crash.
 func (b *Blocks) extendHolds(blocks []uint64) {
@@ -332,8 +349,8 @@
 	}
 }
 
-// merge takes over the decisions of a list.
-func (b *Blocks) merge(list []*peer.SuspectBlock) {
+// merge takes over the decisions of a list, which is this instance's own or a control instance's.
+func (b *Blocks) merge(list []*peer.SuspectBlock, own bool) {
 	now := b.now()
 	for _, s := range list {
 		at := now - millis(s.AgeMs)
@@ -341,24 +358,26 @@
 			b.release(s, at)
 		}
 		if s.Quarantined {
-			b.hold(s, at)
+			b.hold(s, at, own)
 		}
 	}
 }
 
 // hold quarantines the block, unless a request with it was served since its last crash.
-func (b *Blocks) hold(s *peer.SuspectBlock, at time.Duration) {
+func (b *Blocks) hold(s *peer.SuspectBlock, at time.Duration, own bool) {
 	if served, ok := b.soundAt(s.Block); ok && (served > at || s.Crashes < provenCrashes) {
 		return
 	}
 	h := b.held[s.Block]
 	if h != nil && int(s.Crashes) <= h.crashes {
+		h.own = h.own && own
 		return
 	}
 	if h == nil {
-		h = &heldBlock{}
+		h = &heldBlock{own: own}
 		b.held[s.Block] = h
 	}
+	h.own = h.own && own
 	h.crashes, h.at = int(s.Crashes), at
 	h.trialAt = b.trialTime(h)
 	b.logger.Log(event.BlockQuarantined, zap.String("block", blockName(s.Block)), zap.Int("crashes", h.crashes),
--- a/quarantine/blocks_test.go
+++ b/quarantine/blocks_test.go
@@ -69,6 +69,28 @@
 	require.True(t, b.Admit([]uint64{bad, 9}).Refused)
 }
 
+// TestInstanceLeavesTheDecisionToControlInstances checks that an instance that has contact with
+// control instances does not quarantine by its own crashes, and that what it decided alone is not
+// spread: the control instances know better which targets are alive.
+func TestInstanceLeavesTheDecisionToControlInstances(t *testing.T) {
+	clock := newTestClock()
+	b := newTestBlocks(clock)
+	b.Received("c1", nil)
+	for n, target := range []string{"t1", "t2", "t3"} {
+		clock.pass(time.Second)
+		b.Crashed(target, "1", []uint64{bad, uint64(n)})
+	}
+	require.False(t, b.Admit([]uint64{bad, 9}).Refused)
+
+	clock.pass(aloneAfter)
+	b.Crashed("t4", "1", []uint64{bad, 4})
+	require.True(t, b.Admit([]uint64{bad, 9}).Refused)
+	b.Received("c1", nil)
+	report, _ := b.Report("c1")
+	require.Len(t, report.Crashed, 4)
+	require.Empty(t, report.Quarantined)
+}
+
 // TestOneTrialAtATime checks that after its time a quarantined block is let through once, and
 // that a crash ends that, a served request the quarantine.
 func TestOneTrialAtATime(t *testing.T) {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -60,12 +60,13 @@
 	return !listed.Proven || served > view.at-millis(listed.AgeMs)
 }
 
-// missingFrom returns the quarantined blocks that the control instance does not list.
+// missingFrom returns the blocks that another control instance quarantined and this one does not
+// list.
 func (b *Blocks) missingFrom(view *controlView) (list []*peer.SuspectBlock) {
 	now := b.now()
 	for _, block := range slices.Sorted(maps.Keys(b.held)) {
 		h := b.held[block]
-		if known := view.listed[block]; known != nil && (known.Quarantined || known.Released) || view.told[block] >= h.at || now-h.at > verdictTTL {
+		if known := view.listed[block]; h.own || known != nil && (known.Quarantined || known.Released) || view.told[block] >= h.at {
 			continue
 		}
 		list = append(list, &peer.SuspectBlock{Block: block, Crashes: int32(h.crashes), AgeMs: (now - h.at).Milliseconds(), Quarantined: true})
@@ -111,7 +112,8 @@
 		view.listed[s.Block] = s
 	}
 	maps.DeleteFunc(view.told, func(block uint64, _ time.Duration) bool { return view.listed[block] == nil && b.held[block] == nil })
-	b.merge(list)
+	b.merge(list, false)
+	maps.DeleteFunc(b.held, func(_ uint64, h *heldBlock) bool { return now-h.at > verdictTTL })
 	if len(list) > 0 || len(b.held) > 0 {
 		b.notify()
 	}
