Skip blocks of a single crash when looking for the cause of crashes

Cause: each report made a control instance look at all blocks of all crashes of the last minute; most of them, the fingerprints above all, belong to one crash only. Change: the crashes with a block are counted as reports arrive; blocks of one crash are passed over. Gauge control_blocks_quarantined.

--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -255,7 +255,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if c := e.crashes[id]; c != nil && c.at < before {
-		delete(e.crashes, id)
+		e.dropCrash(id)
 		e.discount(id)
 	}
 }
--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -47,6 +47,9 @@
 // Proven reports whether an instance reported that it served a request with the block.
 func (b *Board) Proven(block uint64) bool { return b.evidence.Proven(block) }
 
+// Quarantined returns the number of quarantined blocks.
+func (b *Board) Quarantined() int { return b.evidence.Quarantined() }
+
 // Changes returns a channel that is closed at the next decision on a block, which instances
 // should know at once, and one that is closed at the next change of the list.
 func (b *Board) Changes() (decided, listed <-chan struct{}) {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -66,8 +66,10 @@
 	liveness Liveness
 	logger   *event.Logger
 
-	mutex    sync.Mutex
-	crashes  map[crashID]*crash
+	mutex   sync.Mutex
+	crashes map[crashID]*crash
+	// counts holds the number of crashes with each block.
+	counts   map[uint64]int
 	sound    map[uint64]time.Duration
 	verdicts map[uint64]*verdict
 	// revision counts the changes of what List returns, decisions those of verdicts.
@@ -114,7 +116,7 @@
 
 // NewEvidence returns evidence without crashes. liveness may be nil.
 func NewEvidence(now func() time.Duration, liveness Liveness, logger *event.Logger) *Evidence {
-	return &Evidence{now: now, liveness: liveness, logger: logger, crashes: map[crashID]*crash{}, sound: map[uint64]time.Duration{}, verdicts: map[uint64]*verdict{}}
+	return &Evidence{now: now, liveness: liveness, logger: logger, crashes: map[crashID]*crash{}, counts: map[uint64]int{}, sound: map[uint64]time.Duration{}, verdicts: map[uint64]*verdict{}}
 }
 
 // Record adds what an instance reports. It returns whether other blocks are listed than
@@ -137,6 +139,18 @@
 	return e.revision > revision, e.decisions > decisions
 }
 
+// Quarantined returns the number of quarantined blocks.
+func (e *Evidence) Quarantined() (n int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, v := range e.verdicts {
+		if v.quarantined {
+			n++
+		}
+	}
+	return n
+}
+
 // List returns the blocks that instances should know of: those quarantined, those released a
 // short time ago, and those under which several targets crashed.
 func (e *Evidence) List() []*peer.SuspectBlock {
@@ -213,6 +227,9 @@
 		}
 		if _, known := c.blocks[block]; known || len(c.blocks) < maxBlocksPerCrash {
 			c.blocks[block] = max(c.blocks[block], position)
+			if !known {
+				e.counts[block]++
+			}
 		}
 		e.countAgain(block, id, c.at)
 	}
@@ -239,7 +256,21 @@
 			oldest, first = id, c.at
 		}
 	}
-	delete(e.crashes, oldest)
+	e.dropCrash(oldest)
+}
+
+func (e *Evidence) dropCrash(id crashID) {
+	for block := range e.crashes[id].blocks {
+		e.uncount(block)
+	}
+	delete(e.crashes, id)
+	e.stale = true
+}
+
+func (e *Evidence) uncount(block uint64) {
+	if e.counts[block]--; e.counts[block] == 0 {
+		delete(e.counts, block)
+	}
 }
 
 // recordSound records that a request with the block was served at the time. Earlier crashes
@@ -252,14 +283,25 @@
 		clear(e.sound)
 	}
 	e.sound[block] = at
+	if e.counts[block] == 0 {
+		e.releaseServed(block, at)
+		return
+	}
 	for _, c := range e.crashes {
 		if _, ok := c.blocks[block]; ok {
 			e.stale = true
 			if c.at <= at {
 				delete(c.blocks, block)
+				e.uncount(block)
 			}
 		}
 	}
+	e.releaseServed(block, at)
+}
+
+// releaseServed releases the block, if it is quarantined, for a request that was served at the
+// time.
+func (e *Evidence) releaseServed(block uint64, at time.Duration) {
 	v := e.verdicts[block]
 	if v != nil && v.quarantined && (at > v.at || v.crashes < provenCrashes) {
 		e.release(block, v, "served")
@@ -356,10 +398,9 @@
 	for id, c := range e.crashes {
 		switch {
 		case now-c.at > evidenceTTL:
-			delete(e.crashes, id)
-			e.stale = true
+			e.dropCrash(id)
 		case e.liveness != nil && e.liveness.HeardSince(id.target, id.incarnation, c.at+heartbeatTolerance):
-			delete(e.crashes, id)
+			e.dropCrash(id)
 			e.discount(id)
 		}
 	}
@@ -377,7 +418,6 @@
 
 // discount takes a crash that did not happen out of the verdicts.
 func (e *Evidence) discount(id crashID) {
-	e.stale = true
 	for block, v := range e.verdicts {
 		if !v.quarantined || !v.counted[id] {
 			continue
@@ -429,7 +469,7 @@
 	return best
 }
 
-// candidates returns the blocks of the crashes that no quarantined block explains.
+// candidates returns the blocks of several crashes that no quarantined block explains.
 func (e *Evidence) candidates() map[uint64]*candidate {
 	byBlock := map[uint64]*candidate{}
 	for _, c := range e.crashes {
@@ -437,6 +477,9 @@
 			continue
 		}
 		for block, position := range c.blocks {
+			if e.counts[block] < listedCrashes {
+				continue
+			}
 			known := byBlock[block]
 			if known == nil {
 				_, proven := e.sound[block]
--- a/serve/control.go
+++ b/serve/control.go
@@ -304,6 +304,7 @@
 	c.metrics.Gauge("control_voters").Update(float64(len(status.Voters().GetIds())))
 	c.metrics.Gauge("control_leader_silence_seconds").Update(status.SinceLeaderContact().Seconds())
 	c.metrics.Gauge("control_log_bytes").Update(float64(c.folder.LogSize()))
+	c.metrics.Gauge("control_blocks_quarantined").Update(float64(c.suspects.Quarantined()))
 	c.voter.Read(func(m *control.Machine) {
 		c.metrics.Gauge("configuration_version").Update(float64(m.Document().GetVersion()))
 	})
