--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -60,8 +60,8 @@
 
 // A heldBlock is a quarantined block.
 type heldBlock struct {
-	crashes int
-	at      time.Duration
+	crashes, targets int
+	at               time.Duration
 	// trialAt is when this instance lets a single request through.
 	trialAt time.Duration
 	trying  bool
@@ -233,7 +233,7 @@
 // trialTime returns when this instance lets a request with the block through.
 func (b *Blocks) trialTime(h *heldBlock) time.Duration {
 	spread := max(minTrialSpread, time.Duration(b.instances)*trialSpread)
-	return h.at + holdTime(h.crashes) + time.Duration(b.random()*float64(spread))
+	return h.at + holdTime(max(h.crashes, min(h.targets, finalCrashes))) + time.Duration(b.random()*float64(spread))
 }
 
 // Alive records that the target responded to a request sent at the time. Connections to it
@@ -369,7 +369,7 @@
 		return
 	}
 	h := b.held[s.Block]
-	if h != nil && int(s.Crashes) <= h.crashes {
+	if h != nil && int(s.Crashes) <= h.crashes && int(s.Targets) <= h.targets {
 		h.own = h.own && own
 		return
 	}
@@ -378,13 +378,15 @@
 		b.held[s.Block] = h
 	}
 	h.own = h.own && own
-	h.crashes, h.at = int(s.Crashes), at
+	h.crashes, h.targets, h.at = max(h.crashes, int(s.Crashes)), max(h.targets, int(s.Targets)), max(h.at, at)
 	h.trialAt = b.trialTime(h)
 	b.logger.Log(event.BlockQuarantined, zap.String("block", blockName(s.Block)), zap.Int("crashes", h.crashes),
 		zap.Int64("age_ms", (b.now()-at).Milliseconds()), zap.Int64("trial_in_ms", (h.trialAt-b.now()).Milliseconds()))
 }
 
-// holdTime returns how long a block is refused after the last of that many crashes.
+// holdTime returns how long a block is refused after the last of that many crashes. Targets
+// that crashed together count separately up to finalCrashes, so that a block for which many
+// requests came at once gets no more trials than others.
 func holdTime(crashes int) time.Duration {
 	switch {
 	case crashes < finalCrashes:
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -103,9 +103,10 @@
 
 // A verdict is what is decided on a block.
 type verdict struct {
-	crashes     int
-	at          time.Duration
-	quarantined bool
+	// crashes counts crashes at the same moment once, targets does not.
+	crashes, targets int
+	at               time.Duration
+	quarantined      bool
 	// quarantinedAt is when it was quarantined by reported crashes, or 0.
 	quarantinedAt time.Duration
 	// releasedAt is when the block was released, if it is not quarantined.
@@ -182,7 +183,7 @@
 	switch {
 	case v == nil:
 	case v.quarantined:
-		d.Crashes, d.AgeMs, d.Quarantined = int32(v.crashes), (now - v.at).Milliseconds(), true
+		d.Crashes, d.Targets, d.AgeMs, d.Quarantined = int32(v.crashes), int32(v.targets), (now - v.at).Milliseconds(), true
 	default:
 		at := v.releasedAt
 		if proven {
@@ -238,14 +239,17 @@
 // countAgain adds a crash under a quarantined block to its verdict.
 func (e *Evidence) countAgain(block uint64, id crashID, at time.Duration) {
 	v := e.verdicts[block]
-	if v == nil || !v.quarantined || v.counted[id] || at-v.at < episodeGap {
+	if v == nil || !v.quarantined || v.counted[id] {
 		return
 	}
 	v.counted[id] = true
-	v.crashes++
-	v.at = at
+	v.targets++
+	if at-v.at >= episodeGap {
+		v.crashes++
+	}
+	v.at = max(v.at, at)
 	e.decisions++
-	e.logger.Log(event.BlockBlamed, zap.String("block", blockName(block)), zap.Int("crashes", v.crashes), zap.String("target", id.target))
+	e.logger.Log(event.BlockBlamed, zap.String("block", blockName(block)), zap.Int("crashes", v.crashes), zap.Int("crashed_targets", v.targets), zap.String("target", id.target))
 }
 
 func (e *Evidence) dropOldestCrash() {
@@ -322,7 +326,7 @@
 	if now-at > verdictTTL || known == nil && len(e.verdicts) >= maxVerdicts || known != nil && known.quarantined && known.crashes >= int(q.Crashes) {
 		return
 	}
-	v := &verdict{crashes: int(q.Crashes), at: at, quarantined: true, counted: map[crashID]bool{}}
+	v := &verdict{crashes: int(q.Crashes), targets: int(q.Targets), at: at, quarantined: true, counted: map[crashID]bool{}}
 	e.verdicts[q.Block] = v
 	e.stale = true
 	e.decisions++
@@ -380,10 +384,11 @@
 			targets = append(targets, id.target)
 		}
 	}
+	v.targets = len(targets)
 	e.verdicts[block] = v
 	if before != nil {
 		v.quarantinedAt = before.quarantinedAt
-		if v.crashes == before.crashes {
+		if v.crashes == before.crashes && v.targets == before.targets {
 			return
 		}
 	}
@@ -424,6 +429,7 @@
 		}
 		delete(v.counted, id)
 		v.crashes--
+		v.targets--
 		if v.crashes < quarantineCrashes {
 			e.release(block, v, "target alive")
 		}
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -316,7 +316,8 @@
 				s := newSimulation(config, seed)
 				s.run(10 * time.Second)
 				s.after(0, s.badArrives)
-				s.run(60 * time.Second)
+				// Long enough for trials in the small fleets.
+				s.run(max(time.Minute, 4*time.Minute-time.Duration(c.fleet.entries)*time.Second))
 				require.LessOrEqual(t, s.lateArrivals(), 3, "seed %d, crashes %d", seed, len(s.crashTimes))
 				from := s.crashTimes[min(len(s.crashTimes), finalCrashes)-1] + 2*simContact
 				require.Less(t, s.refusedShare(from, 0), 0.02, "seed %d", seed)
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -69,7 +69,7 @@
 		if known := view.listed[block]; h.own || known != nil && (known.Quarantined || known.Released) || view.told[block] >= h.at {
 			continue
 		}
-		list = append(list, &peer.SuspectBlock{Block: block, Crashes: int32(h.crashes), AgeMs: (now - h.at).Milliseconds(), Quarantined: true})
+		list = append(list, &peer.SuspectBlock{Block: block, Crashes: int32(h.crashes), Targets: int32(h.targets), AgeMs: (now - h.at).Milliseconds(), Quarantined: true})
 	}
 	return list
 }
