Keep a quarantine for which enough other targets crashed

Cause: a target that was taken for crashed and is alive took one crash off the count of a block, also if another target crashed at the same moment; the block was released and quarantined again at once, with a new hold.

--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -178,6 +178,24 @@
 	require.Equal(t, []uint64{bad}, quarantined(e.List()), "three targets that did crash")
 }
 
+// TestLivingTargetAmongCrashedOnes checks that a target that is alive does not end the quarantine
+// of a block for which enough others crashed, some of them together.
+func TestLivingTargetAmongCrashedOnes(t *testing.T) {
+	clock := newTestClock()
+	alive := aliveTargets{}
+	e := NewEvidence(clock.now, alive, event.Nop())
+	for n := range 3 {
+		clock.pass(time.Second)
+		e.Record(crashUnder(fmt.Sprint("t", n), bad))
+		e.Record(crashUnder(fmt.Sprint("u", n), bad))
+	}
+	clock.pass(2 * time.Second)
+	decisions := e.decisions
+	alive["u0"], alive["u1"] = clock.at, clock.at
+	require.Equal(t, []uint64{bad}, quarantined(e.List()))
+	require.Equal(t, decisions, e.decisions, "not released in between")
+}
+
 // TestEvidenceIsBounded checks the bounds of crashes and blocks.
 func TestEvidenceIsBounded(t *testing.T) {
 	clock := newTestClock()
