Spread the trials of instances that restart after the hold of a block

Cause: an instance that learned of a quarantine whose hold was over drew the time of its trial from when the hold ended, so that instances that restarted together let a request each through at once. Found by reading. Change: the spread counts from now if the hold is over. Before: TestTrialsOfRestartedInstances failed (let through at once). After: passes.

--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -233,7 +233,8 @@
 // trialTime returns when this instance lets a request with the block through.
 func (b *Blocks) trialTime(h *heldBlock) time.Duration {
 	spread := max(minTrialSpread, time.Duration(b.instances)*trialSpread)
-	return h.at + holdTime(max(h.crashes, min(h.targets, finalCrashes))) + time.Duration(b.random()*float64(spread))
+	end := h.at + holdTime(max(h.crashes, min(h.targets, finalCrashes)))
+	return max(end, b.now()) + time.Duration(b.random()*float64(spread))
 }
 
 // Alive records that the target responded to a request sent at the time. Connections to it
--- a/quarantine/blocks_test.go
+++ b/quarantine/blocks_test.go
@@ -116,6 +116,17 @@
 	require.False(t, b.Admit([]uint64{bad, 4}).Refused)
 }
 
+// TestTrialsOfRestartedInstances checks that instances that learn of a quarantine whose time is over,
+// as many do that restart together, spread their trials like the others.
+func TestTrialsOfRestartedInstances(t *testing.T) {
+	clock := newTestClock()
+	b := newTestBlocks(clock)
+	b.Received("c1", []*peer.SuspectBlock{{Block: bad, Crashes: 3, AgeMs: (5 * time.Minute).Milliseconds(), Quarantined: true}})
+	require.True(t, b.Admit([]uint64{bad, 1}).Refused)
+	clock.pass(minTrialSpread / 2)
+	require.False(t, b.Admit([]uint64{bad, 1}).Refused)
+}
+
 // TestTrialWithoutOutcome checks that a trial that neither crashed a target nor was served is
 // followed by another.
 func TestTrialWithoutOutcome(t *testing.T) {
