Decide alone while control instances run an earlier release

Cause: the response of a control instance that knows nothing of suspect blocks counted as an empty list, so that new entry instances beside old control instances, as during an upgrade, quarantined nothing. Change: only a response with a list counts. Before: TestEarlierReleaseAtTheControlInstances failed. After: passes.

--- a/serve/crashing_block_test.go
+++ b/serve/crashing_block_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"auburnscale/event"
+	"auburnscale/peer"
 	"auburnscale/platform/standin"
 )
 
@@ -257,3 +259,20 @@
 	require.GreaterOrEqual(t, min(calmSent, laterSent), comparable, "enough sound requests to compare")
 	require.GreaterOrEqual(t, later, calm/2, "sound requests are served half as often as before, at least")
 }
+
+// TestEarlierReleaseAtTheControlInstances checks that an entry instance quarantines blocks by its
+// own crashes while the control instances run a release that knows nothing of them.
+func TestEarlierReleaseAtTheControlInstances(t *testing.T) {
+	f := newTestFleet(t)
+	s := f.settings("entry", 10)
+	s.Fleet.RequestAddress, s.Fleet.ReadinessAddress = f.address(10, fleetEntryPort), f.address(10, fleetReadyPort)
+	e, err := NewEntry(s, event.Nop())
+	require.NoError(t, err)
+	const block = 7
+	for _, target := range []string{"t1", "t2", "t3"} {
+		e.HandleResponse(&peer.WatchResponse{Server: "an earlier release", Entries: 1})
+		e.blocks.Crashed(target, "1", []uint64{block})
+		time.Sleep(300 * time.Millisecond)
+	}
+	require.True(t, e.blocks.Admit([]uint64{block}).Refused)
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -236,7 +236,10 @@
 	}
 	e.suspects.SetReported(reported)
 	e.blocks.SetInstances(int(response.Entries))
-	e.blocks.Received(response.Server, response.Suspects.GetBlocks())
+	// A control instance of an earlier release sends no list; this instance then decides alone.
+	if response.Suspects != nil {
+		e.blocks.Received(response.Server, response.Suspects.Blocks)
+	}
 	newest := max(response.Version, response.Document.GetVersion())
 	if held := e.configurationVersion.Load(); response.Current && held > 0 && newest <= held {
 		e.leaderConfirmed.Store(true)
