Keep the crashes that another control instance counted

Cause: a control instance that takes over a quarantine knows its number of crashes, not when they were. A target that turned out to be alive made it count its own crashes only.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -296,7 +296,7 @@
 	if now-at > verdictTTL || known == nil && len(e.verdicts) >= maxVerdicts || known != nil && known.quarantined && known.crashes >= int(q.Crashes) {
 		return
 	}
-	v := &verdict{crashes: int(q.Crashes), targets: int(q.Targets), at: at, quarantined: true, counted: map[crashID]time.Duration{}}
+	v := &verdict{crashes: int(q.Crashes), targets: int(q.Targets), adopted: int(q.Crashes), at: at, quarantined: true, counted: map[crashID]time.Duration{}}
 	e.verdicts[q.Block] = v
 	e.stale = true
 	e.decisions++
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -216,3 +216,23 @@
 	require.Empty(t, e.List())
 	require.Empty(t, e.crashes)
 }
+
+// TestLivingTargetAfterAdoption guards against losing the crashes that another control instance
+// counted when a target turns out to be alive, and against keeping a served block quarantined for
+// fewer crashes than that takes.
+func TestLivingTargetAfterAdoption(t *testing.T) {
+	clock := newTestClock()
+	alive := aliveTargets{}
+	e := NewEvidence(clock.now, alive, event.Nop())
+	e.Record(&peer.SuspectReport{Quarantined: []*peer.SuspectBlock{{Block: bad, Crashes: 5, Quarantined: true}}})
+	clock.pass(time.Second)
+	e.Record(crashUnder("t0", bad))
+	clock.pass(time.Second)
+	alive["t0"] = clock.at
+	list := e.List()
+	require.Equal(t, []uint64{bad}, quarantined(list))
+	require.EqualValues(t, 5, list[0].Crashes)
+
+	e.Record(&peer.SuspectReport{Sound: []*peer.SoundBlock{{Block: bad, AgeMs: 60_000}}})
+	require.Equal(t, []uint64{bad}, quarantined(e.List()), "served a minute ago")
+}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -21,7 +21,9 @@
 	quarantinedAt time.Duration
 	// releasedAt is when the block was released, if it is not quarantined.
 	releasedAt time.Duration
-	// counted holds the times of the crashes that are included.
+	// adopted is the number of crashes that another control instance counted, counted holds the
+	// times of the others.
+	adopted int
 	counted map[crashID]time.Duration
 }
 
@@ -138,8 +140,9 @@
 		}
 		delete(v.counted, id)
 		v.targets--
-		v.crashes = min(v.crashes, episodes(slices.Sorted(maps.Values(v.counted))))
-		if v.crashes < quarantineCrashes {
+		v.crashes = min(v.crashes, v.adopted+episodes(slices.Sorted(maps.Values(v.counted))))
+		_, proven := e.sound[block]
+		if v.crashes < quarantineCrashes || proven && v.crashes < provenCrashes {
 			e.release(block, v, "target alive")
 		}
 	}
