Explain a refusal for a quarantined prompt block

Cause: explain printed the refusal alone; on-call had to search the logs of all instances for the block. Change: it prints the crashes under the block and the decisions on it before the refusal, and says how many targets failed during how many requests, and how many were served. The program's serving side is unchanged.

--- a/command/explain.go
+++ b/command/explain.go
@@ -17,8 +17,8 @@
 	return &cobra.Command{
 		Use: "explain REQUEST FILE...", Short: "explain the outcome of a request from the logs of all instances",
 		Long: `Explain prints, in the order of their time stamps, the log lines of all instances that name the
-request, and the lines within ten seconds of its end that name a target it was sent to. It then
-states the cause in one sentence. A file contains JSON lines; text before the first brace is ignored.`,
+request, the lines within ten seconds of its end that name a target it was sent to, and what led to
+the quarantine of the prompt block for which it was refused. It then states the cause in one sentence. A file contains JSON lines; text before the first brace is ignored.`,
 		Args: cobra.MinimumNArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error { return explain(out, args[0], args[1:]) },
 	}
@@ -47,6 +47,10 @@
 	OtherTarget   bool     `json:"other_target"`
 	Tried         []string `json:"tried"`
 	RetryAfterMs  int64    `json:"retry_after_ms"`
+	Block         string   `json:"block"`
+	Blocks        []string `json:"blocks"`
+	NotSent       bool     `json:"not_sent"`
+	Crashes       int      `json:"crashes"`
 }
 
 var errNoSuchRequest = errors.New("no log line names the request")
@@ -66,11 +70,12 @@
 	}
 	end := own[len(own)-1]
 	for _, l := range lines {
-		if l.Request == request || l.Request == "" && namesTargetOf(l, own) && l.Time > end.Time-contextSeconds && l.Time < end.Time+contextSeconds {
+		near := l.Time > end.Time-contextSeconds && l.Time < end.Time+contextSeconds
+		if l.Request == request || l.Request == "" && near && namesTargetOf(l, own) || l.isAboutBlock(end) {
 			fmt.Fprintf(out, "%+8.3f s  %-18s %s\n", l.Time-end.Time, l.Instance, l.describe())
 		}
 	}
-	fmt.Fprintf(out, "\n%s\n", summarize(own))
+	fmt.Fprintf(out, "\n%s\n", summarize(own, lines))
 	return nil
 }
 
@@ -134,6 +139,12 @@
 	if l.PrefillTarget != "" {
 		add("reader=%s read=%d ms", l.PrefillTarget, l.PrefillMs)
 	}
+	if l.Block != "" {
+		add("block=%s", l.Block)
+	}
+	if l.Crashes > 0 {
+		add("crashes=%d", l.Crashes)
+	}
 	if l.Code != "" {
 		add("code=%s not_run=%t", l.Code, l.NotExecuted)
 	}
@@ -153,8 +164,8 @@
 }
 
 // summarize states the outcome of a request and its cause in one sentence, given
-// the request's log lines in order.
-func summarize(own []logLine) string {
+// the request's log lines and all lines in order.
+func summarize(own, all []logLine) string {
 	end := own[len(own)-1]
 	declined, failed := 0, 0
 	for _, l := range own {
@@ -179,6 +190,8 @@
 		return "Refused without execution: the instance had just started and had not yet received the configuration from a control leader."
 	case end.Code == "no_route" || end.Code == "unknown_key":
 		return fmt.Sprintf("Denied by configuration %d, which was in effect on the instance: %s.", end.Version, end.Code)
+	case end.Block != "":
+		return summarizeBlock(end, all)
 	case end.NotExecuted:
 		return fmt.Sprintf("Refused without execution (%s); %s.", end.Code, before)
 	}
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -19,6 +19,11 @@
 			goldie.New(t).Assert(t, "explain_"+name, out.Bytes())
 		})
 	}
+	t.Run("quarantined", func(t *testing.T) {
+		var out, errOut bytes.Buffer
+		require.Zero(t, Run([]string{"explain", "r-6-51", "testdata/quarantined.log"}, &out, &errOut), errOut.String())
+		goldie.New(t).Assert(t, "explain_quarantined", out.Bytes())
+	})
 	var out, errOut bytes.Buffer
 	require.Equal(t, exitFailed, Run([]string{"explain", "nobody", "testdata/incident.log"}, &out, &errOut))
 	require.Contains(t, errOut.String(), "no log line names the request nobody")
