Add a failing test: cut connections quarantine sound requests

Cause, from its logs: an entry instance restarted during a partition. When the partition ended, its connections to three living engines were cut. Requests that come again without change had then failed three times in that instance, which refused them by its own count from then on. Nothing clears that count but a served request, and none was sent.

The other new test states what must stay: suspects are refused at once and for as long as a control instance lists them.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -145,3 +147,56 @@
 	response, _ = f.send(http.MethodPost, "/orders/popular")
 	require.Equal(t, http.StatusOK, response.status, response.body)
 }
+
+// TestCutConnectionsDoNotQuarantineRequests guards against refusing sound requests that come again
+// and again without change after three connections to targets that stayed alive were cut (soak,
+// seed 2: an instance that had just restarted refused them for the rest of the run). The control
+// instances know that the targets are alive, so they list no suspect.
+func TestCutConnectionsDoNotQuarantineRequests(t *testing.T) {
+	f := newFixture(t, 2)
+	f.failRepeatedly("/orders/popular")
+	f.waitFor("the request to be served", func() bool {
+		f.listSuspects()
+		response, _ := f.send(http.MethodPost, "/orders/popular")
+		return response.status == http.StatusOK
+	})
+}
+
+// TestSuspectRequestIsRefused checks that a request under which targets failed is refused while a
+// control instance lists it as suspect, and as long as its judgement is not known.
+func TestSuspectRequestIsRefused(t *testing.T) {
+	f := newFixture(t, 2)
+	f.failRepeatedly("/orders/poison")
+	response, _ := f.send(http.MethodPost, "/orders/poison")
+	require.Equal(t, http.StatusServiceUnavailable, response.status, "before a control instance can know")
+
+	report, _ := f.blocks.Report("")
+	blocks := report.Crashed[0].Blocks
+	fingerprint := blocks[len(blocks)-1]
+	for start := time.Now(); time.Since(start) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+		f.listSuspects(&peer.SuspectBlock{Block: fingerprint, Crashes: 2})
+		response, _ = f.send(http.MethodPost, "/orders/poison")
+		require.Equal(t, http.StatusServiceUnavailable, response.status, response.body)
+	}
+}
+
+// failRepeatedly sends a request until it has ended three connections. Targets respond to later
+// ones.
+func (f *fixture) failRepeatedly(path string) {
+	const failures = 3
+	var sent atomic.Int32
+	resetFirst := func(t *standin.Target, w http.ResponseWriter, r *http.Request) bool {
+		return sent.Add(1) <= failures && standin.Reset(t, w, r)
+	}
+	for _, target := range f.targets {
+		target.Script(resetFirst, resetFirst, resetFirst)
+	}
+	f.listSuspects()
+	for range failures {
+		response, _ := f.send(http.MethodPost, path)
+		require.Equal(f.t, http.StatusBadGateway, response.status, response.body)
+	}
+}
+
+// listSuspects passes the list of a control instance to the gateway.
+func (f *fixture) listSuspects(list ...*peer.SuspectBlock) { f.blocks.Received("control", list) }
