Let the control instances judge repeated failures of a request

Cause: three failures of a request refused it for a minute from the last one, whatever had failed. Connections that a partition cut count like crashes, and without traffic nothing could prove the contrary.

Without a control instance the instance's own evidence decides, as it does for blocks. request_refused names the fingerprint in block.

TestPoisonRequestIsQuarantined and TestSuspectRequestIsRefused hold that a request that crashes targets stays refused.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -63,7 +63,8 @@
 	counted         bool
 	firstEventAfter time.Duration
 	status          string
-	// blockedBy is the quarantined block for which the request was refused, in hexadecimal.
+	// blockedBy is the quarantined block, or the fingerprint, for which the request was refused, in
+	// hexadecimal.
 	blockedBy      string
 	target         string
 	estimatedFirst time.Duration
@@ -139,8 +140,9 @@
 // run attempts the request until a response has been sent to the caller. It
 // returns a failure if no further attempt is allowed or possible.
 func (c *call) run() *failure {
-	// Identical requests that were served here fail for another reason than their content.
-	if wait, poisoned := c.server.deps.Suspects.Quarantined(c.fingerprint); poisoned && !c.server.deps.Blocks.Proven(c.fingerprint) {
+	// Failures alone do not tell a request that crashes targets from one whose connections were cut.
+	if wait, failed := c.server.deps.Suspects.Quarantined(c.fingerprint); failed && c.server.deps.Blocks.Suspected(c.fingerprint) {
+		c.blockedBy = strconv.FormatUint(c.fingerprint, 16)
 		return refuse(http.StatusServiceUnavailable, "quarantined", "targets failed repeatedly while running this request").withRetryAfter(wait)
 	}
 	for range maxAttempts {
--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -280,14 +280,6 @@
 	}
 }
 
-// Proven reports whether this instance served a request with the block within soundTTL.
-func (b *Blocks) Proven(block uint64) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	_, ok := b.soundAt(block)
-	return ok
-}
-
 func (b *Blocks) rememberSound(block uint64, at time.Duration) {
 	if len(b.sound[0]) >= soundGeneration {
 		b.sound = [2]map[uint64]time.Duration{{}, b.sound[0]}
