Let a release outweigh older lists of other control instances

Cause: core-pnw-sound-1 quarantined the block for three crashes and released it 0.3 s later, as one of the targets was alive. In between the entry instances had passed the quarantine on to the other control instances, which have no evidence of their own and keep what they adopted. A release was only remembered if a request with the block had been served. Entry instances took whichever list came last. The same holds for a block released because another one explains the crashes.

A control instance that is told does not blame the block again for the same crashes, nor adopt a quarantine from before the release.

--- a/quarantine/suspected.go
+++ b/quarantine/suspected.go
@@ -28,7 +28,8 @@
 		return slices.ContainsFunc(b.own.List(), func(s *peer.SuspectBlock) bool { return s.Block == block && suspect(s) })
 	}
 	for _, v := range b.views {
-		if s := v.listed[block]; s != nil && suspect(s) && b.now()-v.at < aloneAfter {
+		s := v.listed[block]
+		if s != nil && suspect(s) && b.now()-v.at < aloneAfter && !b.releasedSince(block, v.crashedAt(s)) {
 			return true
 		}
 	}
