Check usage reports and the retry budget in the soak

Cause: the soak recorded usage reports only to compare repeated ones, and counted no retries, so neither billing nor the fleet's retry budget was checked under faults.

Change: each reported window outside unplanned faults must be within 5% of the requests that targets began to run, each window that is due must be reported, and in no ten seconds may a service get more repeated requests than 0.2 of its requests plus the slack. The instances get these values in their settings.

Conclusion: four cases of TestCheckViolations show that each check finds its fault.

--- a/soak/check.go
+++ b/soak/check.go
@@ -34,6 +34,14 @@
 	Lease, LateArrival time.Duration
 	// Recovery is the time after the last fault within which service recovers.
 	Recovery time.Duration
+	// RetryWindow is the length of the window in which the retries at a service are limited
+	// to RetryRatio of its requests plus RetrySlack.
+	RetryWindow            time.Duration
+	RetryRatio, RetrySlack float64
+	// UsageWindow is the length of a usage window, UsageDue the time after its end by which
+	// it must be reported, UsageEdge how far from its start and end a request may be counted
+	// in the neighbouring one.
+	UsageWindow, UsageDue, UsageEdge time.Duration
 }
 
 // A Finding represents a violation of an invariant.
@@ -48,7 +56,7 @@
 func (h *History) Check(b Bounds) []Finding {
 	var list []Finding
 	checks := []func(Bounds, func(invariant, format string, args ...any)){
-		h.checkExecutions, h.checkResponses, h.checkArrivals, h.checkVersions, h.checkConfigReads, h.checkStops, h.checkDrains, h.checkLeaderTasks, h.checkRecovery, h.checkBlock,
+		h.checkExecutions, h.checkResponses, h.checkArrivals, h.checkVersions, h.checkConfigReads, h.checkStops, h.checkDrains, h.checkLeaderTasks, h.checkRecovery, h.checkBlock, h.checkRetryBudget, h.checkUsage,
 	}
 	for _, check := range checks {
 		check(b, func(invariant, format string, args ...any) {
--- a/soak/env.go
+++ b/soak/env.go
@@ -170,8 +170,9 @@
 	} else {
 		fmt.Fprintf(&b, "requests = %q\nreadiness = %q\n", e.at(i.host, entryPort+listenPortOffset), e.at(i.host, readyPort))
 	}
-	fmt.Fprintf(&b, "losses = %d\nannounce = \"%v\"\ncontact = \"%v\"\ndrain = \"%v\"\ngrace = \"%v\"\neffect = \"%v\"\nlease = \"%v\"\nretry_slack = 50\n",
-		(e.config.Controls-1)/2, heartbeatInterval, configuredBounds.Contact, configuredBounds.Drain, configuredBounds.Grace, configuredBounds.Effect, configuredBounds.Lease)
+	fmt.Fprintf(&b, "losses = %d\nannounce = \"%v\"\ncontact = \"%v\"\ndrain = \"%v\"\ngrace = \"%v\"\neffect = \"%v\"\nlease = \"%v\"\nretry_slack = %v\nretry_ratio = %v\nretry_window = \"%v\"\nusage_window = \"%v\"\nusage_late = \"%v\"\n",
+		(e.config.Controls-1)/2, heartbeatInterval, configuredBounds.Contact, configuredBounds.Drain, configuredBounds.Grace, configuredBounds.Effect, configuredBounds.Lease,
+		configuredBounds.RetrySlack, configuredBounds.RetryRatio, configuredBounds.RetryWindow, configuredBounds.UsageWindow, configuredBounds.UsageDue)
 	return os.WriteFile(i.settingsFile(), []byte(b.String()), 0o600)
 }
 
--- a/soak/history.go
+++ b/soak/history.go
@@ -58,6 +58,9 @@
 	Workspace string
 	Key       string
 	At        time.Time
+	// Service is the target's service. PrefillOnly is true if only the prompt is to be read.
+	Service     string
+	PrefillOnly bool
 	// CrashingBlock is true if the prompt has crashingBlock.
 	CrashingBlock bool
 }
@@ -71,7 +74,9 @@
 	Arrivals []Arrival
 	// Runs is how often each request ran, by request ID, over all targets.
 	Runs map[string]int
-	Acks []Ack
+	// Begun is when each request was first run.
+	Begun map[string]time.Time
+	Acks  []Ack
 	// Sent is when each version was first sent. Invalid tells which versions
 	// must be rejected.
 	Sent        map[uint64]time.Time
@@ -95,7 +100,7 @@
 }
 
 func newHistory() *History {
-	return &History{Runs: map[string]int{}, Sent: map[uint64]time.Time{}, Invalid: map[uint64]bool{}}
+	return &History{Runs: map[string]int{}, Begun: map[string]time.Time{}, Sent: map[uint64]time.Time{}, Invalid: map[uint64]bool{}}
 }
 
 func (h *History) withLock(f func()) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -45,7 +45,7 @@
 func (c Config) bounds() Bounds {
 	b := configuredBounds
 	factor := time.Duration(max(1, c.TimeoutFactor))
-	for _, d := range []*time.Duration{&b.Effect, &b.Downgrade, &b.Drain, &b.Grace, &b.CloseRace, &b.LateArrival, &b.Recovery} {
+	for _, d := range []*time.Duration{&b.Effect, &b.Downgrade, &b.Drain, &b.Grace, &b.CloseRace, &b.LateArrival, &b.Recovery, &b.UsageDue, &b.UsageEdge} {
 		*d *= factor
 	}
 	return b
@@ -56,6 +56,8 @@
 var configuredBounds = Bounds{
 	Contact: 3 * time.Second, Effect: 2 * time.Second, Downgrade: 250 * time.Millisecond, Drain: 2 * time.Second,
 	Grace: 8 * time.Second, CloseRace: 200 * time.Millisecond, Lease: 3 * time.Second, LateArrival: 300 * time.Millisecond, Recovery: 12 * time.Second,
+	RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
+	UsageWindow: 2 * time.Second, UsageDue: 6 * time.Second, UsageEdge: 100 * time.Millisecond,
 }
 
 const (
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -164,6 +164,23 @@
 				}
 			}
 		}},
+		{"retries stay within the budget", "too many repeats", func(h *History) {
+			for n := range int(configuredBounds.RetrySlack) + 2 {
+				h.Arrivals = append(h.Arrivals, Arrival{Target: "i", ID: "a", Workspace: workspaceName, At: atSecond(2 + float64(n)/20), Service: engineService})
+			}
+		}},
+		{"usage is reported truly", "too few", func(h *History) {
+			beginRuns(h, 100, 2, 4)
+			reportUsage(h, 2, 80)
+		}},
+		{"usage is reported truly", "too many", func(h *History) {
+			beginRuns(h, 100, 2, 4)
+			reportUsage(h, 2, 120)
+		}},
+		{"usage is reported in time", "no report", func(h *History) {
+			beginRuns(h, 1, 1, 2)
+			beginRuns(h, 1, 12, 13)
+		}},
 		{"processes do not exit by themselves", "exit", func(h *History) { h.UnexpectedExits = []string{"entry0 ended"} }},
 		{"service recovers", "nothing served", func(h *History) { h.Attempts[0].Response.Status = 503; h.Runs = map[string]int{} }},
 		{"acknowledged changes are not lost", "older version read after the last fault", func(h *History) {
@@ -182,6 +199,20 @@
 	}
 }
 
+// beginRuns lets n requests begin, evenly spread between the seconds.
+func beginRuns(h *History, n int, from, to float64) {
+	for i := range n {
+		h.Begun[fmt.Sprint("run", from, i)] = atSecond(from + (to-from)*float64(i)/float64(n))
+	}
+	h.Begun[fmt.Sprint("before", from)], h.Begun[fmt.Sprint("after", to)] = atSecond(from-2), atSecond(to+2)
+}
+
+// reportUsage records a usage report of the window that begins at the second.
+func reportUsage(h *History, second float64, count int64) {
+	window := windowOf(atSecond(second), configuredBounds.UsageWindow)
+	h.Calls = append(h.Calls, standin.ExternalAction{At: atSecond(second + 4), Subject: "usage", Holder: "a", Fence: 4, Window: window, Counts: map[string]int64{workspaceName: count}, Body: fmt.Sprint(window, " ", count)})
+}
+
 func crashesAt(h *History, seconds ...float64) {
 	for _, at := range seconds {
 		h.TargetCrashes = append(h.TargetCrashes, Span{From: atSecond(at), To: atSecond(at + 0.8)})
--- a/soak/target.go
+++ b/soak/target.go
@@ -194,11 +194,16 @@
 		for id, n := range s.AllRuns() {
 			h.Runs[id] += n
 		}
+		for id, at := range s.Begun() {
+			if first, known := h.Begun[id]; !known || at.Before(first) {
+				h.Begun[id] = at
+			}
+		}
 		for _, seen := range s.Seen() {
 			if seen.ID == "" || seen.Method != http.MethodPost || seen.Expect != "" && seen.Expect != s.ID() {
 				continue
 			}
-			h.Arrivals = append(h.Arrivals, Arrival{Target: incarnationName(s.ID(), i+1), ID: seen.ID, Workspace: seen.Tenant, Key: seen.Key, At: seen.At, CrashingBlock: standin.HasSharedBlock(seen.Blocks, crashingBlock)})
+			h.Arrivals = append(h.Arrivals, Arrival{Target: incarnationName(s.ID(), i+1), ID: seen.ID, Workspace: seen.Tenant, Key: seen.Key, At: seen.At, Service: t.service, PrefillOnly: seen.Stage == "prefill", CrashingBlock: standin.HasSharedBlock(seen.Blocks, crashingBlock)})
 		}
 	}
 }
