Record the crash of a stand-in engine before its connections end

The stand-in noted the time of its crash after it had closed its connections, so requests that it broke off could end before that time, and the check took them for lost without a crash. Ruled out: the stop of entry1, which began 0.47 s earlier and let its other requests end.

Change: the time is taken before the first connection is closed. The check itself and its bound are as before.

Conclusion: a fault of the stand-in.

--- a/serve/crashing_block_test.go
+++ b/serve/crashing_block_test.go
@@ -61,11 +61,11 @@
 	}
 }
 
-func (e *crashingEngine) crash() {
+func (e *crashingEngine) crash(at time.Time) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.running = false
-	e.crashed = append(e.crashed, time.Now())
+	e.crashed = append(e.crashed, at)
 	time.AfterFunc(engineRestartTime, e.start)
 }
 
--- a/soak/block.go
+++ b/soak/block.go
@@ -30,11 +30,11 @@
 // armCrash makes the current incarnation crash on crashingBlock; another starts after a pause.
 func (t *target) armCrash(current *standin.Target) { current.CrashOnBlock(crashingBlock, t.crashed) }
 
-func (t *target) crashed() {
+func (t *target) crashed(at time.Time) {
 	t.mutex.Lock()
 	t.stopped = true
 	t.mutex.Unlock()
-	crash := Span{From: time.Now(), To: time.Now().Add(crashedTargetPause)}
+	crash := Span{From: at, To: time.Now().Add(crashedTargetPause)}
 	t.env.history.withLock(func() { t.env.history.TargetCrashes = append(t.env.history.TargetCrashes, crash) })
 	time.AfterFunc(crashedTargetPause, t.replaceCrashed)
 }
