Give control instances the ages of all rows also while targets change

Cause: control instances got all rows, with the ages of unchanged ones, only in polls that found no change. After a partition rows change all the time, so each side kept marking targets as silent whose heartbeats reach the other side, and entry instances take such marks from any of them. estimate_ms in request_served shows the penalty for silent targets, 400 ms, on all engines but one. Ruled out: the load that instances exchange and the engines, which were all fast (first event after 30 to 50 ms where few requests went).

Change: a control instance that got all rows longer ago than a hold gets them with the next response, and at once when it is back.

Before: TestControlInstancesGetAgesWhileTargetsChange failed.

Conclusion: a mark of silence is only as good as the ages behind it.

--- a/watch/server.go
+++ b/watch/server.go
@@ -99,6 +99,8 @@
 	lastContact time.Duration
 	// offset is the watcher's wall-clock time minus this instance's clock.Now.
 	offset time.Duration
+	// allRowsAt is when it last got all rows, with their ages.
+	allRowsAt time.Duration
 }
 
 type counterKey struct {
@@ -138,10 +140,13 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.contacts.Record(now)
-	s.watchers[request.Incarnation] = &watcher{
-		instance: request.Instance, control: request.Control, lastContact: now,
-		offset: time.Duration(request.WallMs)*time.Millisecond - now,
+	w := s.watchers[request.Incarnation]
+	if w == nil {
+		w = &watcher{}
+		s.watchers[request.Incarnation] = w
 	}
+	w.instance, w.control, w.lastContact = request.Instance, request.Control, now
+	w.offset = time.Duration(request.WallMs)*time.Millisecond - now
 	for _, c := range request.Begun {
 		key := counterKey{request.Incarnation, c.Window, c.Workspace}
 		s.counters[key] = max(s.counters[key], c.Requests)
@@ -183,7 +188,7 @@
 // waitForChange returns when there is state that the requester lacks, after
 // the hold, or at once if its revision belongs to another incarnation.
 func (s *Server) waitForChange(ctx context.Context, request *peer.WatchRequest) {
-	if request.Server != s.incarnation {
+	if request.Server != s.incarnation || s.needsAges(request) {
 		return
 	}
 	timer := time.NewTimer(holdOf(request))
@@ -224,6 +229,25 @@
 	}
 }
 
+// needsAges reports whether the requester is a control instance that got all rows longer ago than
+// a hold. It needs the ages of unchanged rows too, or it takes targets for silent that send their
+// heartbeats to this instance.
+func (s *Server) needsAges(request *peer.WatchRequest) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	w := s.watchers[request.Incarnation]
+	return request.Control && (w == nil || s.now()-w.allRowsAt >= holdOf(request))
+}
+
+// noteAllRows records that the requester gets all rows.
+func (s *Server) noteAllRows(request *peer.WatchRequest) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if w := s.watchers[request.Incarnation]; w != nil {
+		w.allRowsAt = s.now()
+	}
+}
+
 // HoldFor returns the hold that an entry instance allows in a fleet with that many.
 func HoldFor(entries int) time.Duration {
 	return min(MaxHold, max(MinHold, time.Duration(entries)*holdPerEntry))
@@ -260,10 +284,9 @@
 func (s *Server) response(request *peer.WatchRequest) *peer.WatchResponse {
 	response := &peer.WatchResponse{Server: s.incarnation}
 	since := request.Roster
-	if request.Server != s.incarnation || request.Control && since == s.roster.Snapshot().Revision() {
-		// Control instances get all rows once per hold, because they also
-		// need the current ages of unchanged rows.
+	if request.Server != s.incarnation || request.Control && since == s.roster.Snapshot().Revision() || s.needsAges(request) {
 		since = 0
+		s.noteAllRows(request)
 	}
 	response.Full = since == 0
 	response.Rows, response.Roster = s.roster.Rows(since)
--- a/watch/server_test.go
+++ b/watch/server_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -48,3 +49,40 @@
 	contactEverySecond("a")
 	require.Equal(t, int32(1), s.entriesLocked())
 }
+
+// TestControlInstancesGetAgesWhileTargetsChange guards against taking targets for silent that send
+// their heartbeats to another control instance (incident inc-3ba5): while other targets changed,
+// as after a partition, control instances got the changed rows only, without the ages of the rest.
+func TestControlInstancesGetAgesWhileTargetsChange(t *testing.T) {
+	s, v, r := newServer(t)
+	propose(t, v, 3)
+	seq := uint64(0)
+	change := func() {
+		seq++
+		r.UpdateTarget(&peer.TargetRow{Id: "changing", Address: "1:1", State: peer.TargetRow_READY, BornMs: 1, Seq: seq, Slots: int32(seq)})
+	}
+	r.UpdateTarget(&peer.TargetRow{Id: "steady", Address: "1:2", State: peer.TargetRow_READY, BornMs: 1, Seq: 1})
+	change()
+	poll := func(last *peer.WatchResponse, control bool) *peer.WatchResponse {
+		request := newRequest("c2")
+		request.Control, request.Version, request.Server, request.Roster = control, 3, last.Server, last.Roster
+		return s.Watch(context.Background(), request)
+	}
+	last := poll(&peer.WatchResponse{}, true)
+	require.Len(t, last.Rows, 2)
+	change()
+	last = poll(last, true)
+	require.Len(t, last.Rows, 1, "only what changed")
+
+	now := s.now()
+	s.now = func() time.Duration { return now + MinHold }
+	change()
+	last = poll(last, true)
+	require.Len(t, last.Rows, 2, "all rows once per hold")
+	change()
+	last = poll(last, true)
+	require.Len(t, last.Rows, 1)
+	s.now = func() time.Duration { return now + 2*MinHold }
+	change()
+	require.Len(t, poll(last, false).Rows, 1, "entry instances do not need ages")
+}
