Start one stand-in target at a time in the soak

Cause: two faults that overlap on one target, such as two drains, or a crash and a drain, each stopped it, waited and started the next incarnation; the second found the first one's on the address.

Change: a start does nothing while an incarnation runs.

TestCrashingMessageIsQuarantined logs the sound requests that were not served.

Conclusion: a fault of the soak, not of the program. The checks are as before.

--- a/serve/crashing_message_test.go
+++ b/serve/crashing_message_test.go
@@ -28,8 +28,10 @@
 	soundServed := 0
 	for n := range rounds {
 		name := instances[n%len(instances)]
-		if s.chatWithDocument(name, "the rider of the band", fmt.Sprint("question ", n)).status == 200 {
+		if sound := s.chatWithDocument(name, "the rider of the band", fmt.Sprint("question ", n)); sound.status == 200 {
 			soundServed++
+		} else {
+			t.Logf("sound request %d at %s: %d %s", n, name, sound.status, sound.body)
 		}
 		require.NotEqual(t, 200, s.chatWithDocument(name, "a poison rider", fmt.Sprint("question ", n)).status)
 		// Crashes at the same moment count as one.
--- a/soak/block.go
+++ b/soak/block.go
@@ -40,10 +40,7 @@
 }
 
 func (t *target) replaceCrashed() {
-	t.mutex.Lock()
-	still := t.stopped
-	t.mutex.Unlock()
-	if !still || t.env.closed.Load() {
+	if t.env.closed.Load() {
 		return
 	}
 	if err := t.start(); err != nil {
--- a/soak/target.go
+++ b/soak/target.go
@@ -45,10 +45,13 @@
 
 func (t *target) address() string { return t.env.at(t.host, targetPort).String() }
 
-// start starts the next incarnation.
+// start starts the next incarnation, unless one runs: faults that overlap may both start one.
 func (t *target) start() error {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if t.current != nil && !t.stopped {
+		return nil
+	}
 	t.starts++
 	name := fmt.Sprintf("i-%d-%d", t.host, t.starts)
 	if t.starts%3 == 0 {
