Revert "Let a release outweigh older lists of other control instances"

A wrong release costs engines, a wrong quarantine a minute of some requests.

Conclusion: liveness by the time at which a heartbeat is read is too weak to overrule other instances. A mend needs the time at which it was sent.

--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -49,13 +49,11 @@
 	mutex sync.Mutex
 	// own holds the evidence of this instance, which decides if no control instance can be
 	// reached.
-	own     *Evidence
-	held    map[uint64]*heldBlock
-	reports []crashReport
-	lastSeq uint64
-	sound   [2]map[uint64]time.Duration
-	// released holds when control instances released blocks that others may still list.
-	released  map[uint64]time.Duration
+	own       *Evidence
+	held      map[uint64]*heldBlock
+	reports   []crashReport
+	lastSeq   uint64
+	sound     [2]map[uint64]time.Duration
 	views     map[string]*controlView
 	instances int
 }
@@ -109,7 +107,7 @@
 func NewBlocks(now func() time.Duration, random func() float64, logger *event.Logger) *Blocks {
 	return &Blocks{
 		now: now, random: random, logger: logger, changed: make(chan struct{}, 1), own: NewEvidence(now, nil, event.Nop()), held: map[uint64]*heldBlock{},
-		sound: [2]map[uint64]time.Duration{{}, {}}, released: map[uint64]time.Duration{}, views: map[string]*controlView{}, instances: 1,
+		sound: [2]map[uint64]time.Duration{{}, {}}, views: map[string]*controlView{}, instances: 1,
 	}
 }
 
@@ -297,15 +295,11 @@
 	delete(b.held, block)
 }
 
-// release ends the quarantine of a block that a control instance, or this instance by its own
-// evidence, released.
-func (b *Blocks) release(s *peer.SuspectBlock, at time.Duration, own bool) {
+// release ends the quarantine of a block that a control instance released.
+func (b *Blocks) release(s *peer.SuspectBlock, at time.Duration) {
 	if s.Proven {
 		b.rememberSound(s.Block, at)
 	}
-	if !own {
-		b.released[s.Block] = max(at, b.released[s.Block])
-	}
 	if h := b.held[s.Block]; h != nil && (at >= h.at || s.Proven && h.crashes < provenCrashes) {
 		b.unhold(s.Block)
 	}
@@ -354,7 +348,7 @@
 	for _, s := range list {
 		at := now - millis(s.AgeMs)
 		if s.Released {
-			b.release(s, at, own)
+			b.release(s, at)
 		}
 		if s.Quarantined {
 			b.hold(s, at, own)
@@ -362,15 +356,11 @@
 	}
 }
 
-// hold quarantines the block, unless a request with it was served, or the block released, since
-// its last crash.
+// hold quarantines the block, unless a request with it was served since its last crash.
 func (b *Blocks) hold(s *peer.SuspectBlock, at time.Duration, own bool) {
 	if served, ok := b.soundAt(s.Block); ok && (served > at || s.Crashes < provenCrashes) {
 		return
 	}
-	if b.releasedSince(s.Block, at) {
-		return
-	}
 	h := b.held[s.Block]
 	if h != nil && int(s.Crashes) <= h.crashes && int(s.Targets) <= h.targets {
 		h.own = h.own && own
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -119,9 +119,6 @@
 	for _, q := range report.Quarantined {
 		e.adopt(q, now)
 	}
-	for _, r := range report.Released {
-		e.adoptRelease(r, now)
-	}
 	e.decide(now)
 	return e.revision > revision, e.decisions > decisions
 }
@@ -292,14 +289,10 @@
 	e.logger.Log(event.BlockCleared, zap.String("block", blockName(block)), zap.Int("crashes", v.crashes), zap.String("reason", reason))
 }
 
-// adopt takes over a quarantined block that an instance knows from another control instance, unless
-// it was released since its last crash.
+// adopt takes over a quarantined block that an instance knows from another control instance.
 func (e *Evidence) adopt(q *peer.SuspectBlock, now time.Duration) {
 	at := now - millis(q.AgeMs)
 	known := e.verdicts[q.Block]
-	if known != nil && !known.quarantined && at <= known.releasedAt {
-		return
-	}
 	if now-at > verdictTTL || known == nil && len(e.verdicts) >= maxVerdicts || known != nil && known.quarantined && known.crashes >= int(q.Crashes) {
 		return
 	}
@@ -312,14 +305,4 @@
 	}
 }
 
-// adoptRelease takes over the release of a quarantined block by another control instance, if there
-// was no crash under it since.
-func (e *Evidence) adoptRelease(r *peer.SuspectBlock, now time.Duration) {
-	at := now - millis(r.AgeMs)
-	if v := e.verdicts[r.Block]; v != nil && v.quarantined && at >= v.at {
-		v.overruled = true
-		e.release(r.Block, v, "other control instance")
-	}
-}
-
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -43,9 +43,8 @@
 	report.Sound = b.soundAmong(slices.Sorted(maps.Keys(sound)))
 	if b.views[server] != nil {
 		report.Quarantined = b.missingFrom(view)
-		report.Released = b.releasesFor(view)
 	}
-	if len(report.Crashed)+len(report.Sound)+len(report.Quarantined)+len(report.Released) == 0 {
+	if len(report.Crashed)+len(report.Sound)+len(report.Quarantined) == 0 {
 		return nil, 0
 	}
 	return report, position
@@ -58,7 +57,7 @@
 	if !ok || listed.Released || served <= view.told[listed.Block] {
 		return false
 	}
-	return !listed.Proven || served > view.crashedAt(listed)
+	return !listed.Proven || served > view.at-millis(listed.AgeMs)
 }
 
 // missingFrom returns the blocks that another control instance quarantined and this one does not
@@ -75,43 +74,6 @@
 	return list
 }
 
-// releasesFor returns the blocks that the control instance lists as quarantined although another
-// one released them since their last crash.
-func (b *Blocks) releasesFor(view *controlView) (list []*peer.SuspectBlock) {
-	for _, block := range slices.Sorted(maps.Keys(b.released)) {
-		listed, at := view.listed[block], b.released[block]
-		if listed == nil || !listed.Quarantined || at < view.crashedAt(listed) || view.told[block] >= at {
-			continue
-		}
-		list = append(list, &peer.SuspectBlock{Block: block, Crashes: listed.Crashes, AgeMs: (b.now() - at).Milliseconds(), Released: true})
-	}
-	return list
-}
-
-// releasedSince reports whether a control instance released the block after the time.
-func (b *Blocks) releasedSince(block uint64, at time.Duration) bool {
-	released, ok := b.released[block]
-	return ok && released >= at
-}
-
-// forgetReleases forgets the releases that all control instances know of.
-func (b *Blocks) forgetReleases() {
-	now := b.now()
-	maps.DeleteFunc(b.released, func(block uint64, at time.Duration) bool { return now-at > releaseTTL && !b.listsQuarantined(block) })
-}
-
-func (b *Blocks) listsQuarantined(block uint64) bool {
-	for _, v := range b.views {
-		if l := v.listed[block]; l != nil && l.Quarantined {
-			return true
-		}
-	}
-	return false
-}
-
-// crashedAt returns when the last crash under the block was.
-func (v *controlView) crashedAt(s *peer.SuspectBlock) time.Duration { return v.at - millis(s.AgeMs) }
-
 // Sent records that the incarnation of a control instance received the report.
 func (b *Blocks) Sent(server string, report *peer.SuspectReport, position uint64) {
 	b.mutex.Lock()
@@ -125,9 +87,6 @@
 	for _, q := range report.Quarantined {
 		view.told[q.Block] = now - millis(q.AgeMs)
 	}
-	for _, r := range report.Released {
-		view.told[r.Block] = now - millis(r.AgeMs)
-	}
 }
 
 func (b *Blocks) view(server string) *controlView {
@@ -154,7 +113,6 @@
 	}
 	maps.DeleteFunc(view.told, func(block uint64, _ time.Duration) bool { return view.listed[block] == nil && b.held[block] == nil })
 	b.merge(list, false)
-	b.forgetReleases()
 	maps.DeleteFunc(b.held, func(_ uint64, h *heldBlock) bool { return now-h.at > verdictTTL })
 	if len(list) > 0 || len(b.held) > 0 {
 		b.notify()
--- a/quarantine/suspected.go
+++ b/quarantine/suspected.go
@@ -28,8 +28,7 @@
 		return slices.ContainsFunc(b.own.List(), func(s *peer.SuspectBlock) bool { return s.Block == block && suspect(s) })
 	}
 	for _, v := range b.views {
-		s := v.listed[block]
-		if s != nil && suspect(s) && b.now()-v.at < aloneAfter && !b.releasedSince(block, v.crashedAt(s)) {
+		if s := v.listed[block]; s != nil && suspect(s) && b.now()-v.at < aloneAfter {
 			return true
 		}
 	}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -19,10 +19,8 @@
 	quarantined      bool
 	// quarantinedAt is when it was quarantined by reported crashes, or 0.
 	quarantinedAt time.Duration
-	// releasedAt is when the block was released, if it is not quarantined. overruled is true if
-	// another control instance did, which knew better than this one's evidence.
+	// releasedAt is when the block was released, if it is not quarantined.
 	releasedAt time.Duration
-	overruled  bool
 	// adopted is the number of crashes that another control instance counted, counted holds the
 	// times of the others.
 	adopted int
@@ -156,8 +154,6 @@
 	times    []time.Duration
 	position int
 	proven   bool
-	// overruled is true if another control instance released the block since the last crash.
-	overruled bool
 }
 
 // better reports whether c explains the crashes better than other: it is not known to have
@@ -184,7 +180,7 @@
 		if c.proven {
 			enough = provenCrashes
 		}
-		if !c.overruled && len(c.times) >= enough && episodes(c.times) >= enough && (best == nil || c.better(best)) {
+		if len(c.times) >= enough && episodes(c.times) >= enough && (best == nil || c.better(best)) {
 			best = c
 		}
 	}
@@ -212,10 +208,10 @@
 			known.position = max(known.position, position)
 		}
 	}
-	for block, c := range byBlock {
-		slices.Sort(c.times)
-		v := e.verdicts[block]
-		c.overruled = v != nil && v.overruled && c.times[len(c.times)-1] <= v.releasedAt
+	for _, c := range byBlock {
+		if len(c.times) > 1 {
+			slices.Sort(c.times)
+		}
 	}
 	return byBlock
 }
