Do not hold polls while a document is missing

Cause: two control instances lost power at 11.5 s. Requests to them ended with their time limit at about 14.5 s, just when version 20 was committed (14.4 s). The loop of a dead instance then asked again, and as there was no document source it became the source. The other loops knew of version 20 and came back 250 ms later, too early to replace a source of that age, and sent their next requests, which control instances hold for up to 2.4 s, as they state version 20. Ruled out: the leader, which was elected at 12.3 s, and the links; entry instances whose loops fell otherwise had the version at 14.5 s.

Change: while a newer version is announced and not here, a loop that is not the source waits until it may replace the source, at most 250 ms, instead of sending a request that is held.

Before: TestNewSourceThatDeliversNothing describes the order of events; there was no way to wait. After: it passes.

Conclusion: a held request must not be able to delay what is known to be missing.

--- a/watch/client.go
+++ b/watch/client.go
@@ -226,7 +226,11 @@
 	request.Server, request.Roster = l.server, l.roster
 	begun := request.Begun
 	request.Begun = l.counters.missing(begun)
-	request.Spare, request.Version = l.client.documentRequest(l, request.Version)
+	var wait time.Duration
+	request.Spare, request.Version, wait = l.client.documentRequest(l, request.Version)
+	if wait > 0 {
+		return wait, true
+	}
 	ctx, cancel := context.WithTimeout(l.client.ctx, holdOf(request)+responseMargin)
 	defer cancel()
 	response, err := l.client.dialer.Peer(l.address).Watch(ctx, request)
--- a/watch/document_source.go
+++ b/watch/document_source.go
@@ -43,21 +43,32 @@
 	return s.announced > held && now-s.announcedAt >= s.timeout && now-s.since >= s.timeout
 }
 
+// timeLeft returns how long the source may still take to deliver the newest announced
+// version, or 0 if that is not missing. held is the version that this instance has.
+func (s *documentSource) timeLeft(held uint64, now time.Duration) time.Duration {
+	if s.announced <= held {
+		return 0
+	}
+	return min(sourceTimeout, max(0, s.timeout-(now-s.announcedAt), s.timeout-(now-s.since)))
+}
+
 // documentRequest returns whether the loop's request asks for a response without
 // the document, and the version that the request states. held is the version that
-// this instance has. It makes the loop the document source if that is due.
-func (c *Client) documentRequest(l *pollLoop, held uint64) (spare bool, version uint64) {
+// this instance has. It makes the loop the document source if that is due. If it may be due
+// soon, wait is the time until then: a request that is held would delay it.
+func (c *Client) documentRequest(l *pollLoop, held uint64) (spare bool, version uint64, wait time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	held = max(held, c.source.received)
-	if now := clock.Now(); c.source.replaceable(held, now) {
+	now := clock.Now()
+	if c.source.replaceable(held, now) {
 		c.source.loop, c.source.since = l, now
 		c.logger.Log(event.DocumentSource, zap.String("address", l.address), zap.Uint64("held", held), zap.Uint64("told", c.source.announced))
 	}
 	if c.source.loop == l {
-		return false, held
+		return false, held, 0
 	}
-	return true, max(held, c.source.announced)
+	return true, max(held, c.source.announced), c.source.timeLeft(held, now)
 }
 
 // noteAnnounced records that a control instance has the version.
--- a/watch/document_source_test.go
+++ b/watch/document_source_test.go
@@ -168,3 +168,31 @@
 	require.Nil(t, response.Document)
 	require.EqualValues(t, 3, response.Version)
 }
+
+// TestNewSourceThatDeliversNothing guards against documents that arrive seconds late when a control
+// instance loses power (tbhg-riders-large, trouble-2, seed 320337504799): its loop, which had just
+// timed out, became the source again shortly before the others could, whose next requests
+// were then held although the document was missing.
+func TestNewSourceThatDeliversNothing(t *testing.T) {
+	c := &Client{logger: event.Nop(), source: documentSource{timeout: sourceTimeout}}
+	dead, alive := &pollLoop{client: c, address: "dead"}, &pollLoop{client: c, address: "alive"}
+	const held, announced = 16, 20
+	c.noteAnnounced(announced)
+	spare, _, _ := c.documentRequest(dead, held)
+	require.False(t, spare, "there was no source")
+
+	spare, version, wait := c.documentRequest(alive, held)
+	require.True(t, spare)
+	require.EqualValues(t, announced, version)
+	require.Positive(t, wait)
+	require.LessOrEqual(t, wait, sourceTimeout)
+	time.Sleep(wait)
+	spare, version, wait = c.documentRequest(alive, held)
+	require.False(t, spare, "it is the source now")
+	require.EqualValues(t, held, version)
+	require.Zero(t, wait)
+
+	c.noteReceived(announced)
+	_, _, wait = c.documentRequest(dead, announced)
+	require.Zero(t, wait, "nothing is missing")
+}
