Log the rate limits that targets name, and count sends by kind

What operators saw: a target got more requests than the limit in its responses, and no log line or metric told whether the limit was read, obeyed by each instance alone, or obeyed for first attempts only. What is sent does not change.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -101,7 +101,7 @@
 }
 
 // recordResponse records that the target responded, and what it states of itself: its
-// load, that it is leaving, that it asks for a pause. sent is when the request was sent, on
+// load, that it is leaving, that it asks for a pause or names a rate limit. sent is when the request was sent, on
 // clock.Now. It returns the decoded status and header.
 func (c *call) recordResponse(t *route.Target, response *exchange.Response, sent time.Duration) ResponseInfo {
 	info := c.server.deps.Codec.DecodeResponse(response.Status(), response.Header())
@@ -116,6 +116,9 @@
 	if info.RetryAfter != 0 {
 		c.server.deps.Fleets.Pause(t, info.RetryAfter, time.Now())
 	}
+	if !info.WrongTarget {
+		c.server.deps.Fleets.RecordLimit(t, info.Limit)
+	}
 	return info
 }
 
@@ -128,6 +131,11 @@
 	}
 	ctx, cancel := c.attemptContext()
 	defer cancel()
+	kind := sendFirst
+	if c.sends > 0 {
+		kind = sendRepeated
+	}
+	c.server.countSend(t, kind)
 	sent := clock.Now()
 	response, err := c.server.deps.Dialer.Send(ctx, t.Address(), c.request(d))
 	if err != nil {
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -84,6 +84,19 @@
 	// RetryAfter is for how long the target asks for no requests; 0 if it does not ask,
 	// negative if what it asks cannot be understood.
 	RetryAfter time.Duration
+	// Limit is the rate of requests that the target takes.
+	Limit RateLimit
+}
+
+// A RateLimit is the rate of requests from all instances together that a target states in a
+// response.
+type RateLimit struct {
+	// Named is true if the response names a limit.
+	Named bool
+	// Invalid is true if what it names cannot be understood; PerSecond is then 0.
+	Invalid bool
+	// PerSecond is the number of requests a second. It may be 0.
+	PerSecond float64
 }
 
 // A Load is the load that a target reports: the numbers of running and waiting
--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -219,6 +219,17 @@
 	f.logger.Log(event.TargetPaused, zap.String("target", t.Name()), zap.Int64("pause_ms", pause.Milliseconds()), zap.Bool("bounded", pause != asked))
 }
 
+// RecordLimit records whether a response of the target names a rate limit.
+func (f *Fleets) RecordLimit(t *route.Target, limit RateLimit) {
+	if limit.Invalid {
+		f.logger.Log(event.TargetLimitInvalid, zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()))
+		return
+	}
+	if t.SetLimited(limit.Named, limit.PerSecond) {
+		f.logger.Log(event.TargetLimited, zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()), zap.Bool("named", limit.Named), zap.Float64("per_second", limit.PerSecond))
+	}
+}
+
 // ConnectTimedOut records that a connection attempt to the target timed out. If its
 // failure domain seems unreachable, all targets there are avoided for a while. The
 // instance's own failure domain is never taken for unreachable.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -50,6 +50,19 @@
 	s.deps.Metrics.Tagged(map[string]string{"outcome": name}).Counter("requests").Inc(1)
 }
 
+// The kinds of sends that are counted.
+const (
+	sendFirst     = "first"
+	sendRepeated  = "repeated"
+	sendPrefill   = "prefill"
+	sendContinued = "continued"
+)
+
+// countSend counts a request that is sent to the target, also if it is sent in vain.
+func (s *Server) countSend(t *route.Target, kind string) {
+	s.deps.Metrics.Tagged(map[string]string{"kind": kind, "limited": strconv.FormatBool(t.Limited())}).Counter("target_sends").Inc(1)
+}
+
 func (s *Server) logServed(c *call) {
 	s.countOutcome("served")
 	s.deps.Metrics.Timer("first_event").Record(c.firstEventAfter)
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -50,6 +50,7 @@
 	// A prefill may be retried, so the wait for an unresponsive target is short.
 	ctx, cancel := context.WithTimeout(c.ctx, max(minPrefillTimeout, prefillTimeoutFactor*p.FirstEvent))
 	defer cancel()
+	c.server.countSend(t, sendPrefill)
 	sent := clock.Now()
 	response, err := c.server.deps.Dialer.Send(ctx, t.Address(), c.request(Dispatch{Target: t.Name(), PrefillOnly: true}))
 	if err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -227,6 +227,7 @@
 		if t == nil || c.refuseIfQuarantined() != nil || !c.spendRetry() {
 			return nil, nil
 		}
+		c.server.countSend(t, sendContinued)
 		sent := clock.Now()
 		response, err := c.server.deps.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), LastEventID: r.lastID}))
 		if err != nil {
--- a/route/target.go
+++ b/route/target.go
@@ -43,6 +43,8 @@
 	// pausedUntil is until when the target asked for no requests, in nanoseconds since
 	// 1970.
 	pausedUntil atomic.Int64
+	// limit is the rate limit that the target's last response named, or nil.
+	limit atomic.Pointer[float64]
 	// backoffUntil is when the target is tried again after it declined a request,
 	// in nanoseconds since 1970.
 	backoffUntil atomic.Int64
@@ -174,6 +176,20 @@
 	}
 }
 
+// SetLimited records whether the target's last response names a rate limit, in requests a
+// second, and reports whether that is news.
+func (t *Target) SetLimited(named bool, perSecond float64) bool {
+	next := &perSecond
+	if !named {
+		next = nil
+	}
+	before := t.limit.Swap(next)
+	return (before == nil) != (next == nil) || before != nil && *before != perSecond
+}
+
+// Limited reports whether the target's last response names a rate limit.
+func (t *Target) Limited() bool { return t.limit.Load() != nil }
+
 // InheritPause takes over the pause that the other target asked for.
 func (t *Target) InheritPause(other *Target) { t.pausedUntil.Store(other.pausedUntil.Load()) }
 
