Send no more to a target than the rate limit that it names allows

What callers and operators saw: a target that named a limit of 1.7 requests a second got 16 in 4 s from instances that it had told, where 15.2 are tolerated; nothing in the fleet depended on the limit.

Class: a statement of a target about itself for all instances together, of which each instance knows its own part only. Leaving and pauses had been handled as they came; a limit on the sum had no mechanism at all.

Change: package permit. Each request to a target that has named a limit, on every path (first attempt, prefill, decode, repeat, continuation), needs a permit of the control leader, which has one token bucket for each start of a target. Instances exchange the limits that they were told, with their age and the target's start. Without a permit the request goes to another target, or is refused at once with the time at which its turn comes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,6 +58,9 @@
 			return false, nil
 		}
 	}
+	if !c.permitted(p.DecodeTarget) {
+		return false, nil
+	}
 	prefillTokens, source := p.PrefillTokens, c.kvSource
 	if source != "" {
 		prefillTokens = 0
@@ -79,6 +82,16 @@
 	return c.send(p.DecodeTarget, Dispatch{Target: p.DecodeTarget.Name(), KVSource: source, LastEventID: c.info.LastEventID}, onStart)
 }
 
+// permitted reports whether the request may be sent to the target now. If the target's rate
+// limit is used up, the request is placed again.
+func (c *call) permitted(t *route.Target) bool {
+	if c.server.deps.Fleets.Permit(c.ctx, t) {
+		return true
+	}
+	c.heldOff++
+	return false
+}
+
 // recordError records that the target failed to respond, and excludes it from further
 // attempts of this request. If the request's context has ended, it only excludes the
 // target, since the error may not be the target's fault.
@@ -117,7 +130,7 @@
 		c.server.deps.Fleets.Pause(t, info.RetryAfter, time.Now())
 	}
 	if !info.WrongTarget {
-		c.server.deps.Fleets.RecordLimit(t, info.Limit)
+		c.server.deps.Fleets.RecordLimit(t, response.Status(), info, sent)
 	}
 	return info
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -55,6 +55,9 @@
 	kvOffers int
 	// prefillRuns counts the prefills that a target may have started.
 	prefillRuns int
+	// heldOff counts the times that the request was not sent because the rate limit of the
+	// chosen target was used up.
+	heldOff int
 	// lastFailure is a target's own 5xx response, which the caller gets if no other
 	// attempt succeeds.
 	lastFailure *bufferedResponse
@@ -83,6 +86,9 @@
 	// maxAttempts bounds the attempts to place and send a request, including those
 	// at unreachable targets.
 	maxAttempts = 6
+	// maxHeldOff bounds how often a request is placed again because the rate limit of the
+	// chosen target was used up.
+	maxHeldOff = 8
 	// maxPrefillAttempts bounds the prefill targets to which a prompt is sent. After
 	// that the decode target prefills it, which takes longer and delays the requests
 	// that run there.
@@ -145,7 +151,7 @@
 		c.blockedBy = strconv.FormatUint(c.fingerprint, 16)
 		return refuse(http.StatusServiceUnavailable, "quarantined", "targets failed repeatedly while running this request").withRetryAfter(wait)
 	}
-	for range maxAttempts {
+	for attempts := 0; attempts < maxAttempts && c.heldOff <= maxHeldOff; {
 		if f := c.refuseIfQuarantined(); f != nil {
 			return f
 		}
@@ -156,10 +162,14 @@
 		if f := c.refuseIfLate(placement); f != nil {
 			return f
 		}
+		heldOff := c.heldOff
 		done, f := c.attempt(placement)
 		if done {
 			return nil
 		}
+		if c.heldOff == heldOff {
+			attempts++
+		}
 		if f != nil {
 			return f
 		}
@@ -207,12 +217,27 @@
 	if c.runs > 0 {
 		return fail(http.StatusBadGateway, "target_failed", "the target failed during the request and no other target can take it")
 	}
-	if pause := c.server.deps.Fleets.Fleet(c.service.Name).PauseLeft(time.Now()); pause > 0 {
-		return refuse(http.StatusServiceUnavailable, "targets_paused", "every target of the service asked for a pause").withRetryAfter(pause)
+	if f := c.targetsPaused(); f != nil {
+		return f
 	}
 	return refuse(http.StatusServiceUnavailable, "no_target", "no target of the service can take the request now").withRetryAfter(c.retryAfter())
 }
 
+// targetsPaused returns the refusal of a request whose service has no target that takes
+// requests now, because each asked for a pause or has used up its rate limit, or nil if that is
+// not so.
+func (c *call) targetsPaused() *failure {
+	now, fleets := time.Now(), c.server.deps.Fleets
+	wait := fleets.Fleet(c.service.Name).PauseLeft(now)
+	if wait == 0 {
+		return nil
+	}
+	if c.heldOff == 0 && fleets.LimitedTargets() == 0 {
+		return refuse(http.StatusServiceUnavailable, "targets_paused", "every target of the service asked for a pause").withRetryAfter(wait)
+	}
+	return refuse(http.StatusServiceUnavailable, "targets_limited", "every target of the service asked for a pause or has used up its rate limit").withRetryAfter(fleets.ReturnAfter(c.service.Name, wait, now))
+}
+
 // timedOut returns the failure for a request whose time is over: a refusal if the
 // request cannot have run.
 func (c *call) timedOut() *failure {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -21,6 +21,7 @@
 	"auburnscale/exchange"
 	"auburnscale/gateway"
 	"auburnscale/peer"
+	"auburnscale/permit"
 	"auburnscale/platform"
 	"auburnscale/platform/standin"
 	"auburnscale/quarantine"
@@ -115,6 +116,19 @@
 type fixtureOptions struct {
 	budget *retry.BudgetShare
 	logger *event.Logger
+	// asker answers questions for permits. The default is a leader that issues all.
+	asker permit.Asker
+}
+
+// askerFunc is an asker that calls itself.
+type askerFunc func(*peer.TargetLimit) (*peer.PermitResponse, error)
+
+func (f askerFunc) Ask(_ context.Context, limit *peer.TargetLimit) (*peer.PermitResponse, error) {
+	return f(limit)
+}
+
+func issueAll(*peer.TargetLimit) (*peer.PermitResponse, error) {
+	return &peer.PermitResponse{Current: true, Issued: true}, nil
 }
 
 func newFixtureWith(t *testing.T, targets int, o fixtureOptions) *fixture {
@@ -124,11 +138,14 @@
 	if o.logger == nil {
 		o.logger = event.Nop()
 	}
+	if o.asker == nil {
+		o.asker = askerFunc(issueAll)
+	}
 	snapshot, findings := catalog.New(configuration())
 	require.NoError(t, findings.Err())
 	f := &fixture{t: t, state: &fakeState{snapshot: snapshot}, runCounter: &fakeRunCounter{map[string]int{}}, roster: roster.New(clock.Now, time.Hour)}
 	f.blocks = quarantine.NewBlocks(clock.Now, rand.Float64, o.logger)
-	f.fleets = gateway.NewFleets("d0", route.Placer{}, f.roster, o.logger)
+	f.fleets = gateway.NewFleets("d0", route.Placer{}, f.roster, permit.NewGate(clock.Now, o.asker), o.logger)
 	for i := range targets {
 		target := standin.NewTarget(fmt.Sprint("e", i))
 		require.NoError(t, target.Listen("127.0.0.1:0"))
--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -9,6 +9,7 @@
 
 	"auburnscale/event"
 	"auburnscale/peer"
+	"auburnscale/permit"
 	"auburnscale/retry"
 	"auburnscale/roster"
 	"auburnscale/route"
@@ -23,6 +24,7 @@
 	entries atomic.Int64
 	reach   *reachability
 	leaving LeavingRecorder
+	gate    *permit.Gate
 	logger  *event.Logger
 
 	mutex    sync.Mutex
@@ -30,7 +32,10 @@
 	services map[string]*serviceState
 	// heldBlocks holds the prompt blocks to be reported to the other instances.
 	heldBlocks []*peer.HeldBlock
-	fleets     atomic.Pointer[map[string]*route.Fleet]
+	// returns holds, by service, when the last caller was told to return that was refused
+	// because the rate limits of all targets are used up.
+	returns map[string]time.Time
+	fleets  atomic.Pointer[map[string]*route.Fleet]
 }
 
 // A LeavingRecorder takes note of targets that are about to end.
@@ -61,9 +66,13 @@
 // 60 bytes.
 const maxBlocksPerService = 20_000
 
-// NewFleets returns Fleets without targets, for an instance in the failure domain.
-func NewFleets(domain string, placer route.Placer, leaving LeavingRecorder, logger *event.Logger) *Fleets {
-	f := &Fleets{domain: domain, placer: placer, leaving: leaving, logger: logger, reach: newReachability(), targets: map[string]*knownTarget{}, services: map[string]*serviceState{}}
+// NewFleets returns Fleets without targets, for an instance in the failure domain. The gate
+// keeps the rate limits of the targets.
+func NewFleets(domain string, placer route.Placer, leaving LeavingRecorder, gate *permit.Gate, logger *event.Logger) *Fleets {
+	f := &Fleets{
+		domain: domain, placer: placer, leaving: leaving, gate: gate, logger: logger, reach: newReachability(),
+		targets: map[string]*knownTarget{}, services: map[string]*serviceState{}, returns: map[string]time.Time{},
+	}
 	f.fleets.Store(&map[string]*route.Fleet{})
 	f.entries.Store(1)
 	return f
@@ -73,7 +82,10 @@
 func (f *Fleets) Placer() route.Placer { return f.placer }
 
 // SetEntries sets the number of entry instances that send to the targets.
-func (f *Fleets) SetEntries(n int) { f.entries.Store(int64(max(1, n))) }
+func (f *Fleets) SetEntries(n int) {
+	f.entries.Store(int64(max(1, n)))
+	f.gate.SetInstances(n)
+}
 
 // Fleet returns the usable targets of the service. The fleet is empty for a
 // service that a later configuration removed.
@@ -114,6 +126,7 @@
 		k.target.SetSilent(row.Silent)
 		k.target.SetSwitching(row.AwayMs > 0)
 		k.target.SetEntries(int(f.entries.Load()))
+		f.endHoldOff(k.target, now)
 		switch {
 		case k.mismatched:
 		case state.breaker.Ejected(row.Id, now):
@@ -219,17 +232,6 @@
 	f.logger.Log(event.TargetPaused, zap.String("target", t.Name()), zap.Int64("pause_ms", pause.Milliseconds()), zap.Bool("bounded", pause != asked))
 }
 
-// RecordLimit records whether a response of the target names a rate limit.
-func (f *Fleets) RecordLimit(t *route.Target, limit RateLimit) {
-	if limit.Invalid {
-		f.logger.Log(event.TargetLimitInvalid, zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()))
-		return
-	}
-	if t.SetLimited(limit.Named, limit.PerSecond) {
-		f.logger.Log(event.TargetLimited, zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()), zap.Bool("named", limit.Named), zap.Float64("per_second", limit.PerSecond))
-	}
-}
-
 // ConnectTimedOut records that a connection attempt to the target timed out. If its
 // failure domain seems unreachable, all targets there are avoided for a while. The
 // instance's own failure domain is never taken for unreachable.
--- /dev/null
+++ b/gateway/limits.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnscale/event"
+	"auburnscale/peer"
+	"auburnscale/route"
+)
+
+// incarnationOf returns the start of the target as the permits name it.
+func incarnationOf(t *route.Target) string { return strconv.FormatInt(t.Incarnation(), 10) }
+
+// RecordLimit records whether a response of the target names a rate limit. sent is when the
+// request was sent, on clock.Now. That a limit has ended is taken from a success only, since a
+// failure may not come from the target itself.
+func (f *Fleets) RecordLimit(t *route.Target, status int, info ResponseInfo, sent time.Duration) {
+	limit, changed := info.Limit, false
+	switch {
+	case limit.Invalid:
+		f.logger.Log(event.TargetLimitInvalid, zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()))
+	case limit.Named:
+		changed = f.gate.Named(t.Name(), incarnationOf(t), limit.PerSecond)
+	case info.ID != "" && status < http.StatusMultipleChoices:
+		changed = f.gate.Unnamed(t.Name(), incarnationOf(t), sent)
+	}
+	if changed {
+		f.logger.Log(event.TargetLimited, zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()), zap.Bool("named", limit.Named), zap.Float64("per_second", limit.PerSecond))
+	}
+}
+
+// Permit reports whether one request may be sent to the target now. If its rate limit is used
+// up, it is not available for a while.
+func (f *Fleets) Permit(ctx context.Context, t *route.Target) bool {
+	decision := f.gate.Acquire(ctx, t.Name(), incarnationOf(t))
+	if decision.Allowed() {
+		return true
+	}
+	t.HoldOff(time.Now().Add(decision.Wait()))
+	f.logger.Log(event.PermitRefused, zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()), zap.String("reason", string(decision.Reason())), zap.Int64("wait_ms", decision.Wait().Milliseconds()))
+	return false
+}
+
+// limited reports whether the target has a rate limit.
+func (f *Fleets) limited(t *route.Target) bool {
+	_, limited := f.gate.PerSecond(t.Name(), incarnationOf(t))
+	return limited
+}
+
+// endHoldOff makes a target available whose limit has ended.
+func (f *Fleets) endHoldOff(t *route.Target, now time.Time) {
+	if t.HeldOff(now) && !f.limited(t) {
+		t.HoldOff(time.Time{})
+	}
+}
+
+// maxReturnAfter bounds the time after which a caller is told to return.
+const maxReturnAfter = 10 * time.Second
+
+// ReturnAfter returns the time after which a caller of the service is told to return that was
+// refused because all targets have used up their limits or asked for a pause. wait is the time
+// until the first of them takes a request. Callers that are refused one after the other are told
+// to return one after the other, as fast as this instance's part of the limits allows.
+func (f *Fleets) ReturnAfter(service string, wait time.Duration, now time.Time) time.Duration {
+	perSecond := 0.0
+	for _, t := range f.Fleet(service).Targets() {
+		if limit, limited := f.gate.PerSecond(t.Name(), incarnationOf(t)); limited && t.Decodes() {
+			perSecond += limit
+		}
+	}
+	if perSecond == 0 {
+		return wait
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	at := now.Add(wait)
+	if next := f.returns[service].Add(time.Duration(float64(f.entries.Load()) / perSecond * float64(time.Second))); next.After(at) {
+		at = next
+	}
+	if latest := now.Add(max(wait, maxReturnAfter)); at.After(latest) {
+		at = latest
+	}
+	f.returns[service] = at
+	return at.Sub(now)
+}
+
+// LimitedTargets returns the number of targets that have a rate limit.
+func (f *Fleets) LimitedTargets() int { return f.gate.Limited() }
+
+// LimitReports returns the limits of targets of which this instance has news since the last
+// call, or all that it knows.
+func (f *Fleets) LimitReports(all bool) []*peer.TargetLimit { return f.gate.Reports(all) }
+
+// MergeLimits records the limits that other instances know.
+func (f *Fleets) MergeLimits(limits []*peer.TargetLimit) { f.gate.Merge(limits) }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -60,7 +60,7 @@
 
 // countSend counts a request that is sent to the target, also if it is sent in vain.
 func (s *Server) countSend(t *route.Target, kind string) {
-	s.deps.Metrics.Tagged(map[string]string{"kind": kind, "limited": strconv.FormatBool(t.Limited())}).Counter("target_sends").Inc(1)
+	s.deps.Metrics.Tagged(map[string]string{"kind": kind, "limited": strconv.FormatBool(s.deps.Fleets.limited(t))}).Counter("target_sends").Inc(1)
 }
 
 func (s *Server) logServed(c *call) {
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -38,6 +38,9 @@
 // only costs time.
 func (c *call) prefillElsewhere(p route.Placement) string {
 	t := p.PrefillTarget
+	if !c.permitted(t) {
+		return ""
+	}
 	if c.prefillRuns > 0 && !c.server.deps.Budget.TrySpend(c.service.Name, clock.Now()) {
 		c.localPrefill = true
 		return ""
--- a/gateway/reachability_test.go
+++ b/gateway/reachability_test.go
@@ -6,8 +6,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"auburnscale/clock"
 	"auburnscale/event"
 	"auburnscale/peer"
+	"auburnscale/permit"
 	"auburnscale/roster"
 	"auburnscale/route"
 )
@@ -42,7 +44,7 @@
 // TestOwnDomainIsNeverAvoided checks that time-outs of two targets make the gateway
 // avoid their failure domain, but not if it is the gateway's own.
 func TestOwnDomainIsNeverAvoided(t *testing.T) {
-	f := NewFleets("d0", route.Placer{}, nil, event.Nop())
+	f := NewFleets("d0", route.Placer{}, nil, permit.NewGate(clock.Now, nil), event.Nop())
 	r := roster.New(func() time.Duration { return time.Minute }, time.Hour)
 	for i, domain := range []string{"d0", "d0", "d0", "d1", "d1", "d1"} {
 		name := string(rune('a' + i))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -224,7 +224,13 @@
 	for c.mayRetry() && c.ctx.Err() == nil {
 		placement := c.server.deps.Fleets.Placer().Direct(c.server.deps.Fleets.Fleet(c.service.Name), c.prompt, c.excluded, time.Now())
 		t := placement.DecodeTarget
-		if t == nil || c.refuseIfQuarantined() != nil || !c.spendRetry() {
+		if t == nil || c.refuseIfQuarantined() != nil || c.heldOff > maxHeldOff {
+			return nil, nil
+		}
+		if !c.permitted(t) {
+			continue
+		}
+		if !c.spendRetry() {
 			return nil, nil
 		}
 		c.server.countSend(t, sendContinued)
--- /dev/null
+++ b/permit/gate.go
@@ -0,0 +1,270 @@
+package permit
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"auburnscale/peer"
+)
+
+const (
+	// askTimeout bounds the wait for a permit. The leader answers within a round trip.
+	askTimeout = 200 * time.Millisecond
+	// askBackoff is how long nothing is asked after no leader has answered.
+	askBackoff = 300 * time.Millisecond
+	// ownPartDelay is the time without an answer of a leader after which an instance uses its
+	// own part of the limits. A change of the leader takes less.
+	ownPartDelay = 3 * time.Second
+	// reportInterval is the time between two reports of a limit that responses renew.
+	reportInterval = time.Second
+)
+
+// A target tolerates, in any toleranceWindow, toleratedRatio times what its limit allows and
+// toleratedExtra requests more.
+const (
+	toleranceWindow = 4 * time.Second
+	toleratedRatio  = 1.5
+	toleratedExtra  = 5
+)
+
+// An Asker asks the control leader for permits.
+type Asker interface {
+	// Ask returns the response of a leader, or an error if none answered.
+	Ask(ctx context.Context, limit *peer.TargetLimit) (*peer.PermitResponse, error)
+}
+
+// A Gate decides on an instance whether a request may be sent to a target. It is safe for
+// concurrent use.
+type Gate struct {
+	now   func() time.Duration
+	asker Asker
+	book  *Book
+
+	mutex sync.Mutex
+	// instances is the number of instances that send requests, or 0 if it is not known.
+	instances int
+	// lostAt is when a leader first did not answer, or 0 if the last question was answered.
+	// askFrom is the time from which one is asked.
+	lostAt, askFrom time.Duration
+	// ownPart holds the time from which the own part of a limit allows a request.
+	ownPart map[key]time.Duration
+	// reported holds when each limit was last reported, unreported what to report next.
+	reported   map[key]time.Duration
+	unreported map[key]bool
+}
+
+// NewGate returns a gate that knows no limits.
+func NewGate(now func() time.Duration, asker Asker) *Gate {
+	return &Gate{now: now, asker: asker, book: NewBook(now), ownPart: map[key]time.Duration{}, reported: map[key]time.Duration{}, unreported: map[key]bool{}}
+}
+
+// SetInstances sets the number of instances that send requests. It never decreases, since
+// instances that are cut off continue to use their part.
+func (g *Gate) SetInstances(n int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.instances = max(g.instances, n)
+}
+
+// Named records that a response of the target named the limit, in requests a second. It reports
+// whether that is news.
+func (g *Gate) Named(target, incarnation string, perSecond float64) bool {
+	return g.observe(key{target, incarnation}, perSecond, false, g.now())
+}
+
+// Unnamed records that the response to a request that was sent at the given time, on the clock
+// of the gate, named no limit. It reports whether the limit has ended by that. A limit that was
+// named since the request was sent has not.
+func (g *Gate) Unnamed(target, incarnation string, sent time.Duration) bool {
+	k := key{target, incarnation}
+	if g.book.limitOf(k) == nil {
+		return false
+	}
+	return g.observe(k, 0, true, sent)
+}
+
+func (g *Gate) observe(k key, perSecond float64, ended bool, at time.Duration) bool {
+	g.book.mutex.Lock()
+	changed := g.book.record(k, perSecond, ended, at)
+	g.book.mutex.Unlock()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if now := g.now(); changed || !ended && now-g.reported[k] >= reportInterval {
+		g.unreported[k], g.reported[k] = true, now
+	}
+	return changed
+}
+
+// Reports returns the limits of which this instance has news since the last call, or all of
+// them.
+func (g *Gate) Reports(all bool) []*peer.TargetLimit {
+	if all {
+		g.clearReports()
+		list, _ := g.book.Since(0)
+		return list
+	}
+	var list []*peer.TargetLimit
+	for k := range g.clearReports() {
+		if news := g.book.message(k); news != nil {
+			list = append(list, news)
+		}
+	}
+	return list
+}
+
+func (g *Gate) clearReports() map[key]bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	keys := g.unreported
+	if len(keys) > 0 {
+		g.unreported = map[key]bool{}
+	}
+	if now := g.now(); len(g.reported) > maxLimits {
+		for k, at := range g.reported {
+			if now-at > reportInterval {
+				delete(g.reported, k)
+			}
+		}
+	}
+	return keys
+}
+
+// Merge records the limits that other instances know.
+func (g *Gate) Merge(limits []*peer.TargetLimit) {
+	for _, l := range limits {
+		g.book.Merge(l)
+	}
+}
+
+// Limited returns the number of starts of targets that have a limit.
+func (g *Gate) Limited() int { return g.book.Limited() }
+
+// PerSecond returns the limit of the start of a target, and whether it has one.
+func (g *Gate) PerSecond(target, incarnation string) (float64, bool) {
+	l := g.book.limitOf(key{target, incarnation})
+	return max(minPerSecond, l.GetPerSecond()), l != nil
+}
+
+// A Decision tells whether a request may be sent to a target now.
+type Decision struct {
+	allowed bool
+	wait    time.Duration
+	reason  Reason
+}
+
+// A Reason tells why a request may be sent, or not.
+type Reason string
+
+// The reasons of decisions.
+const (
+	// Unlimited means that the target has no limit.
+	Unlimited Reason = "unlimited"
+	// Issued and Exhausted are answers of the leader.
+	Issued    Reason = "issued"
+	Exhausted Reason = "exhausted"
+	// OwnPart means that no leader answers and the own part of the limit decided.
+	OwnPart Reason = "own_part"
+	// NoLeader means that no leader answers and nothing is known to be left of the limit.
+	NoLeader Reason = "no_leader"
+)
+
+// Allowed reports whether the request may be sent.
+func (d Decision) Allowed() bool { return d.allowed }
+
+// Wait returns the time after which the target may take another request, if the request may not
+// be sent.
+func (d Decision) Wait() time.Duration { return d.wait }
+
+// Reason returns what decided.
+func (d Decision) Reason() Reason { return d.reason }
+
+// Acquire decides whether one request may be sent to the target now. Each request needs a
+// decision of its own, right before it is sent.
+func (g *Gate) Acquire(ctx context.Context, target, incarnation string) Decision {
+	k := key{target, incarnation}
+	l := g.book.limitOf(k)
+	if l == nil {
+		return Decision{allowed: true, reason: Unlimited}
+	}
+	if wait := g.askAfter(); wait > 0 {
+		return g.takeOwnPart(k, l.PerSecond, wait)
+	}
+	asking, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	response, err := g.asker.Ask(asking, l)
+	if err != nil {
+		return g.unanswered(ctx, k, l.PerSecond)
+	}
+	g.answered()
+	g.book.Merge(response.Limit)
+	if response.Issued {
+		return Decision{allowed: true, reason: Issued}
+	}
+	return Decision{wait: max(minWait, time.Duration(response.WaitMs)*time.Millisecond), reason: Exhausted}
+}
+
+// askAfter returns how much longer no leader is asked.
+func (g *Gate) askAfter() time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return max(0, g.askFrom-g.now())
+}
+
+func (g *Gate) answered() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.lostAt, g.askFrom = 0, 0
+	clear(g.ownPart)
+}
+
+// unanswered decides after no leader has answered. If the caller has left instead, nothing is
+// known of the leader.
+func (g *Gate) unanswered(ctx context.Context, k key, perSecond float64) Decision {
+	if ctx.Err() != nil {
+		return Decision{wait: minWait, reason: NoLeader}
+	}
+	g.mutex.Lock()
+	g.askFrom = g.now() + askBackoff
+	if g.lostAt == 0 {
+		g.lostAt = g.now()
+	}
+	g.mutex.Unlock()
+	return g.takeOwnPart(k, perSecond, askBackoff)
+}
+
+// takeOwnPart decides without a leader. The own part of the limit is one request in the time in
+// which the limit allows one for each instance, so that all of them together keep to it. Where
+// there are too many instances for that they send none.
+func (g *Gate) takeOwnPart(k key, perSecond float64, wait time.Duration) Decision {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	perSecond = max(minPerSecond, perSecond)
+	now := g.now()
+	if !ownPartsFit(g.instances, perSecond) || now-g.lostAt < ownPartDelay {
+		return Decision{wait: wait, reason: NoLeader}
+	}
+	interval := time.Duration(float64(g.instances) / perSecond * float64(time.Second))
+	from, known := g.ownPart[k]
+	if !known {
+		from = g.lostAt + ownPartDelay + interval
+		g.ownPart[k] = from
+	}
+	if now < from {
+		return Decision{wait: max(wait, from-now), reason: OwnPart}
+	}
+	g.ownPart[k] = now + interval
+	return Decision{allowed: true, reason: OwnPart}
+}
+
+// ownPartsFit reports whether so many instances may each use their own part of the limit: in any
+// toleranceWindow all of them together send no more than a target tolerates, even if each begins at
+// the same moment.
+func ownPartsFit(instances int, perSecond float64) bool {
+	if instances == 0 {
+		return false
+	}
+	n, allowed := float64(instances), perSecond*toleranceWindow.Seconds()
+	return n*(math.Floor(allowed/n)+1) <= toleratedRatio*allowed+toleratedExtra
+}
--- /dev/null
+++ b/permit/permit.go
@@ -0,0 +1,43 @@
+// Package permit keeps targets that name a rate limit from getting more requests than that
+// from all instances together.
+//
+// The control leader issues a permit for each request to such a target, from one token bucket
+// for each start of a target ([Issuer]). An instance asks for one right before it sends the
+// request ([Gate]); without one it holds off for the time that the leader names. Knowledge of
+// limits is kept by a [Book] with the age of the news, which instances exchange.
+//
+// The package owns the news on limits and the decision whether a request may be sent. It
+// chooses no targets and sends nothing but the question for a permit.
+//
+// # Usage
+//
+//	gate := permit.NewGate(clock.Now, permit.NewClient(incarnation, addresses, dialer))
+//	gate.Named("t1", incarnation, 1.7)
+//	if d := gate.Acquire(ctx, "t1", incarnation); !d.Allowed() { holdOff(d.Wait()) }
+//
+//	issuer := permit.NewIssuer(leadership, book, clock.Now)
+//	response := issuer.Issue(request)
+package permit
+
+import "time"
+
+const (
+	// minPerSecond is the least rate at which requests are sent to a target, whatever limit
+	// it names: only a response tells that the limit has ended.
+	minPerSecond = 0.1
+	// burstRequests and burstTime bound the tokens of a target that sent no requests for a
+	// while: burstRequests and what the limit allows in burstTime.
+	burstRequests = 2
+	burstTime     = 500 * time.Millisecond
+	// minWait bounds the time after which an instance asks again.
+	minWait = 20 * time.Millisecond
+)
+
+// burst returns the largest number of tokens of a target with the limit.
+func burst(perSecond float64) float64 { return burstRequests + perSecond*burstTime.Seconds() }
+
+// A key identifies one start of a target.
+type key struct {
+	target      string
+	incarnation string
+}
--- a/route/place.go
+++ b/route/place.go
@@ -148,14 +148,14 @@
 }
 
 // PauseLeft returns the time until the first of the fleet's decode targets takes requests
-// again, or 0 unless every one of them asked for a pause.
+// again, or 0 unless every one of them asked for a pause or has used up its rate limit.
 func (f *Fleet) PauseLeft(now time.Time) time.Duration {
 	least := time.Duration(0)
 	for _, t := range f.decodeTargets {
 		if t.leaving.Load() {
 			continue
 		}
-		left := t.pauseLeft(now)
+		left := max(t.pauseLeft(now), t.heldOffLeft(now))
 		if left == 0 {
 			return 0
 		}
--- a/route/target.go
+++ b/route/target.go
@@ -43,8 +43,9 @@
 	// pausedUntil is until when the target asked for no requests, in nanoseconds since
 	// 1970.
 	pausedUntil atomic.Int64
-	// limit is the rate limit that the target's last response named, or nil.
-	limit atomic.Pointer[float64]
+	// heldOffUntil is until when the target's rate limit is used up, in nanoseconds since
+	// 1970.
+	heldOffUntil atomic.Int64
 	// backoffUntil is when the target is tried again after it declined a request,
 	// in nanoseconds since 1970.
 	backoffUntil atomic.Int64
@@ -176,22 +177,30 @@
 	}
 }
 
-// SetLimited records whether the target's last response names a rate limit, in requests a
-// second, and reports whether that is news.
-func (t *Target) SetLimited(named bool, perSecond float64) bool {
-	next := &perSecond
-	if !named {
-		next = nil
+// HoldOff keeps requests from the target until the given time, because its rate limit is used
+// up. The zero time ends that.
+func (t *Target) HoldOff(until time.Time) {
+	if until.IsZero() {
+		t.heldOffUntil.Store(0)
+		return
 	}
-	before := t.limit.Swap(next)
-	return (before == nil) != (next == nil) || before != nil && *before != perSecond
+	t.heldOffUntil.Store(until.UnixNano())
 }
 
-// Limited reports whether the target's last response names a rate limit.
-func (t *Target) Limited() bool { return t.limit.Load() != nil }
+// HeldOff reports whether the rate limit of the target is used up.
+func (t *Target) HeldOff(now time.Time) bool { return t.heldOffLeft(now) > 0 }
+
+// heldOffLeft returns the time until the rate limit of the target may allow a request.
+func (t *Target) heldOffLeft(now time.Time) time.Duration {
+	return max(0, time.Duration(t.heldOffUntil.Load()-now.UnixNano()))
+}
 
-// InheritPause takes over the pause that the other target asked for.
-func (t *Target) InheritPause(other *Target) { t.pausedUntil.Store(other.pausedUntil.Load()) }
+// InheritPause takes over the pause that the other target asked for, and how long its rate limit
+// is used up.
+func (t *Target) InheritPause(other *Target) {
+	t.pausedUntil.Store(other.pausedUntil.Load())
+	t.heldOffUntil.Store(other.heldOffUntil.Load())
+}
 
 // pauseLeft returns how much longer the target asked for no requests.
 func (t *Target) pauseLeft(now time.Time) time.Duration {
@@ -217,7 +226,7 @@
 // availableIfReachable is like available but ignores whether the target's failure
 // domain seems unreachable.
 func (t *Target) availableIfReachable(now time.Time) bool {
-	return !t.leaving.Load() && !t.switching.Load() && now.UnixNano() >= t.backoffUntil.Load() && t.pauseLeft(now) == 0
+	return !t.leaving.Load() && !t.switching.Load() && now.UnixNano() >= t.backoffUntil.Load() && t.pauseLeft(now) == 0 && !t.HeldOff(now)
 }
 
 // warmUpLeft returns how much longer the target is slow after its start.
--- a/serve/control.go
+++ b/serve/control.go
@@ -19,6 +19,7 @@
 	"auburnscale/control"
 	"auburnscale/event"
 	"auburnscale/peer"
+	"auburnscale/permit"
 	"auburnscale/platform"
 	"auburnscale/quarantine"
 	"auburnscale/quorum"
@@ -76,6 +77,7 @@
 	replicaManager *replica.Manager
 	suspects       *quarantine.Board
 	watchServer    *watch.Server
+	limits         *permit.Book
 	loadAggregator *watch.LoadAggregator
 	loadMesh       *watch.LoadMesh
 	watchClient    *watch.Client
@@ -148,7 +150,8 @@
 	c.roster = roster.New(clock.Now, missedHeartbeatLimit*f.HeartbeatInterval.AsDuration())
 	c.suspects = quarantine.NewBoard(c.incarnation, quarantine.NewEvidence(clock.Now, c.roster, c.logger))
 	c.watchServer = watch.NewServer(c.incarnation, c.voter, c.roster, c.suspects)
-	c.loadAggregator = watch.NewLoadAggregator(c.incarnation)
+	c.limits = permit.NewBook(clock.Now)
+	c.loadAggregator = watch.NewLoadAggregator(c.incarnation, c.limits)
 	c.watchClient = watch.NewClient(self.Address, c.outboundClients.client, c, c.logger)
 	c.loadMesh = watch.NewLoadMesh(self.Address, c.loadAggregator, c.watchClient.Addresses, c.watchServer.Entries, c.outboundClients.client)
 	c.replicaManager = replica.New(replica.Config{Self: self, DesiredVoters: 2*f.ToleratedLosses + 1, ControlAddresses: c.watchClient.Addresses, ReportedMembers: c.watchClient.ControlReplicas}, c.voter, c.senders, c.outboundClients.client, c.logger)
@@ -224,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects).(*peerServer), c}), nil)
+	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects, newIssuer(c.voter, nil, c.limits)).(*peerServer), c}), nil)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
@@ -305,6 +308,7 @@
 	c.metrics.Gauge("control_leader_silence_seconds").Update(status.SinceLeaderContact().Seconds())
 	c.metrics.Gauge("control_log_bytes").Update(float64(c.folder.LogSize()))
 	c.metrics.Gauge("control_blocks_quarantined").Update(float64(c.suspects.Quarantined()))
+	c.metrics.Gauge("control_targets_limited").Update(float64(c.limits.Limited()))
 	c.voter.Read(func(m *control.Machine) {
 		c.metrics.Gauge("configuration_version").Update(float64(m.Document().GetVersion()))
 	})
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -14,6 +14,7 @@
 	"auburnscale/event"
 	"auburnscale/gateway"
 	"auburnscale/peer"
+	"auburnscale/permit"
 	"auburnscale/platform"
 	"auburnscale/quarantine"
 	"auburnscale/retry"
@@ -64,6 +65,7 @@
 	startedAt       time.Duration
 
 	roster          *roster.Roster
+	gate            *permit.Gate
 	fleets          *gateway.Fleets
 	budget          *retry.BudgetShare
 	suspects        *retry.Suspects
@@ -101,7 +103,6 @@
 	e := &Entry{
 		settings: s, logger: logger, incarnation: newIncarnation(), outboundClients: out, startedAt: clock.Now(),
 		roster:   targets,
-		fleets:   gateway.NewFleets(s.FailureDomain, route.Placer{TransferDelay: kvTransferDelay, RemoteDelay: remoteDomainDelay, CrossDomainDelay: crossDomainDelay}, targets, logger),
 		budget:   retry.NewBudgetShare(f.RetryRatio, f.RetrySlack, f.RetryWindow.AsDuration()),
 		suspects: retry.NewSuspects(), blocks: quarantine.NewBlocks(clock.Now, rand.Float64, logger), startedRequests: usage.NewStartedRequests(f.UsageWindow.AsDuration()),
 		documents: make(chan *peer.ReplaceDocument, 16), failures: make(chan error, 4), stopped: make(chan struct{}),
@@ -113,6 +114,8 @@
 	}
 	out.dialer.OnDropped(e.logDroppedConnection)
 	e.watchClient = watch.NewClient("", out.client, e, logger)
+	e.gate = permit.NewGate(clock.Now, permit.NewClient(e.incarnation, e.watchClient.Addresses, out.client))
+	e.fleets = gateway.NewFleets(s.FailureDomain, route.Placer{TransferDelay: kvTransferDelay, RemoteDelay: remoteDomainDelay, CrossDomainDelay: crossDomainDelay}, targets, e.gate, logger)
 	e.loadExchanger = watch.NewLoadExchanger(e.incarnation, s.FailureDomain, e.watchClient, out.client, e.fleets)
 	e.suspectReporter = watch.NewSuspectReporter(e.incarnation, e.watchClient.Servers, out.client, e.blocks)
 	e.gateway = gateway.New(gateway.Config{
@@ -282,6 +285,7 @@
 	e.fleets.Refresh(e.roster.Snapshot(), names, time.Now())
 	e.metrics.Gauge("configuration_version").Update(float64(configuration.Version()))
 	e.metrics.Gauge("blocks_quarantined").Update(float64(e.blocks.Quarantined()))
+	e.metrics.Gauge("targets_limited").Update(float64(e.gate.Limited()))
 	e.metrics.Gauge("requests_open").Update(float64(e.gateway.OpenRequests()))
 	for _, name := range names {
 		e.metrics.Tagged(map[string]string{"service": name}).Gauge("targets_usable").Update(float64(len(e.fleets.Fleet(name).Targets())))
--- a/serve/peer_server.go
+++ b/serve/peer_server.go
@@ -11,16 +11,18 @@
 	"auburnscale/control"
 	"auburnscale/member"
 	"auburnscale/peer"
+	"auburnscale/permit"
 	"auburnscale/quarantine"
 	"auburnscale/voter"
 )
 
 // peerServer serves the peer protocol, which instances speak among each other.
-// voter, table and suspects are nil on an instance that is not a voter.
+// voter, table, suspects and issuer are nil on an instance that is not a voter.
 type peerServer struct {
 	voter         *voter.Voter
 	table         *member.Table
 	suspects      *quarantine.Board
+	issuer        *permit.Issuer
 	counterHolder counterHolder
 }
 
@@ -30,9 +32,9 @@
 }
 
 // NewVoterServer returns a peer protocol server for a voter that keeps no copies
-// of usage counters.
-func NewVoterServer(v *voter.Voter, table *member.Table, suspects *quarantine.Board) peer.Peer {
-	return &peerServer{voter: v, table: table, suspects: suspects, counterHolder: discardCounters{}}
+// of usage counters. Without an issuer it issues no permits.
+func NewVoterServer(v *voter.Voter, table *member.Table, suspects *quarantine.Board, issuer *permit.Issuer) peer.Peer {
+	return &peerServer{voter: v, table: table, suspects: suspects, issuer: issuer, counterHolder: discardCounters{}}
 }
 
 type discardCounters struct{}
@@ -88,6 +90,14 @@
 	return s.suspects.Report(report), nil
 }
 
+// IssuePermit issues a permit for a request to a target with a rate limit, if this voter leads.
+func (s *peerServer) IssuePermit(_ context.Context, request *peer.PermitRequest) (*peer.PermitResponse, error) {
+	if s.issuer == nil {
+		return nil, errNotVoter
+	}
+	return s.issuer.Issue(request), nil
+}
+
 // Hold keeps a copy of another instance's usage counters.
 func (s *peerServer) Hold(_ context.Context, request *peer.HoldRequest) (*peer.HoldResponse, error) {
 	s.counterHolder.Hold(request.Counters)
--- a/watch/load_aggregator.go
+++ b/watch/load_aggregator.go
@@ -8,6 +8,7 @@
 
 	"auburnscale/clock"
 	"auburnscale/peer"
+	"auburnscale/permit"
 )
 
 // loadReportTTL is how long an instance's load report counts without being renewed.
@@ -15,10 +16,11 @@
 
 // A LoadAggregator holds the load that is in flight by target: of each entry instance
 // that reports to this control instance, and of all those together that report to each
-// other control instance. It also lists the prompt blocks that targets hold, as reported by
-// them. It is safe for concurrent use.
+// other control instance. It also lists the prompt blocks that targets hold and the rate limits
+// that targets name, as reported by them. It is safe for concurrent use.
 type LoadAggregator struct {
 	incarnation string
+	limits      *permit.Book
 
 	mutex sync.Mutex
 	held  heldBlocks
@@ -34,14 +36,14 @@
 }
 
 // NewLoadAggregator returns an aggregator without reports, for a control instance with the
-// incarnation.
-func NewLoadAggregator(incarnation string) *LoadAggregator {
-	return &LoadAggregator{incarnation: incarnation, held: newHeldBlocks(), entries: map[string]loadReport{}, controls: map[string]loadReport{}}
+// incarnation that knows the limits of the book.
+func NewLoadAggregator(incarnation string, limits *permit.Book) *LoadAggregator {
+	return &LoadAggregator{incarnation: incarnation, limits: limits, held: newHeldBlocks(), entries: map[string]loadReport{}, controls: map[string]loadReport{}}
 }
 
 // Exchange stores what the requester reports and returns the summed load, sorted by target,
 // of all other entry instances, or for a control instance, of those that report here. It
-// also returns the held blocks that the requester lacks.
+// also returns the held blocks and the limits that the requester lacks.
 func (a *LoadAggregator) Exchange(request *peer.ShareRequest) *peer.ShareResponse {
 	now := clock.Now()
 	a.mutex.Lock()
@@ -62,9 +64,32 @@
 	a.held.add(request.Held, request.Incarnation, !request.Control)
 	response := &peer.ShareResponse{Work: sums.sorted(), Server: a.incarnation}
 	response.Held, response.Seen = a.held.since(seen, request.Incarnation, request.Control)
+	a.exchangeLimits(request, response)
 	return response
 }
 
+// exchangeLimits merges the limits of the request and adds to the response those that the
+// requester lacks.
+func (a *LoadAggregator) exchangeLimits(request *peer.ShareRequest, response *peer.ShareResponse) {
+	var corrections []*peer.TargetLimit
+	for _, l := range request.Limits {
+		if known := a.limits.Merge(l); known != nil {
+			corrections = append(corrections, known)
+		}
+	}
+	seen := request.LimitsSeen
+	if request.Server != a.incarnation {
+		seen = 0
+	}
+	response.Limits, response.LimitsSeen = a.limits.Since(seen)
+	response.Limits = append(response.Limits, corrections...)
+}
+
+// LimitsSince returns the limits that changed after the position, and the present position.
+func (a *LoadAggregator) LimitsSince(position uint64) ([]*peer.TargetLimit, uint64) {
+	return a.limits.Since(position)
+}
+
 // Local returns the summed load of the entry instances that report here, sorted by
 // target, and the held blocks that they reported from the position on, with the position
 // after them.
@@ -77,13 +102,16 @@
 	return sums.sorted(), held, next
 }
 
-// SetControl stores what another control instance, given by its address, reported of the
+// SetControl stores what another control instance, given by its address, responded of the
 // entry instances that report to it.
-func (a *LoadAggregator) SetControl(address string, load []*peer.TargetWork, held []*peer.HeldBlock) {
+func (a *LoadAggregator) SetControl(address string, response *peer.ShareResponse) {
+	for _, l := range response.Limits {
+		a.limits.Merge(l)
+	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.controls[address] = loadReport{load, clock.Now()}
-	a.held.add(held, address, false)
+	a.controls[address] = loadReport{response.Work, clock.Now()}
+	a.held.add(response.Held, address, false)
 }
 
 // loadSums holds summed load by target.
--- a/watch/load_exchanger.go
+++ b/watch/load_exchanger.go
@@ -44,6 +44,11 @@
 	TakeHeldBlocks() []*peer.HeldBlock
 	// AddHeldBlocks takes the blocks that other instances saw targets hold.
 	AddHeldBlocks([]*peer.HeldBlock)
+	// LimitReports returns the rate limits of targets of which this instance has news since
+	// the last call, or all that it knows.
+	LimitReports(all bool) []*peer.TargetLimit
+	// MergeLimits takes the limits that other instances know.
+	MergeLimits([]*peer.TargetLimit)
 	// Entries returns the number of entry instances.
 	Entries() int
 }
@@ -65,6 +70,10 @@
 	unsent []*peer.HeldBlock
 	server string
 	seen   uint64
+	// limitsSeen is the position in the limits of the server. reportAll is set if it may lack
+	// limits that were reported before.
+	limitsSeen uint64
+	reportAll  bool
 
 	stop     chan struct{}
 	done     chan struct{}
@@ -131,7 +140,8 @@
 }
 
 // exchange sends the load of this instance and takes the load of the others, or
-// nil if no control instance responded. It exchanges new held blocks as well.
+// nil if no control instance responded. It exchanges new held blocks and news of rate limits as
+// well.
 func (e *LoadExchanger) exchange() {
 	e.unsent = append(e.unsent, e.source.TakeHeldBlocks()...)
 	e.unsent = e.unsent[max(0, len(e.unsent)-maxHeldPerExchange):]
@@ -144,16 +154,20 @@
 	defer cancel()
 	response, err := e.dialer.Peer(address).Share(ctx, &peer.ShareRequest{
 		Incarnation: e.incarnation, Work: e.source.OwnLoad(), Held: e.unsent, Server: e.server, Seen: e.seen,
+		Limits: e.source.LimitReports(e.reportAll), LimitsSeen: e.limitsSeen,
 	})
 	if err != nil {
+		e.reportAll = true
 		// The watch client, which polls the same instance, logs the failure.
 		e.backoffUntil[address] = clock.Now() + exchangeBackoff
 		e.source.SetOtherLoad(nil)
 		return
 	}
-	e.unsent, e.server, e.seen = nil, response.Server, response.Seen
+	e.reportAll = response.Server != e.server
+	e.unsent, e.server, e.seen, e.limitsSeen = nil, response.Server, response.Seen, response.LimitsSeen
 	e.source.SetOtherLoad(response.Work)
 	e.source.AddHeldBlocks(response.Held)
+	e.source.MergeLimits(response.Limits)
 }
 
 // chooseAddress returns the first address that is not in backoff, or an empty string.
--- a/watch/load_mesh.go
+++ b/watch/load_mesh.go
@@ -62,13 +62,13 @@
 	}
 }
 
-// A meshPosition is how far the exchange of held blocks with a control instance has come:
-// the own position after what it received, and its incarnation and position after what it
-// sent.
+// A meshPosition is how far the exchange of held blocks and of limits with a control instance
+// has come: the own positions after what it received, and its incarnation and positions after
+// what it sent.
 type meshPosition struct {
-	sent   uint64
-	server string
-	seen   uint64
+	sent, limitsSent uint64
+	server           string
+	seen, limitsSeen uint64
 }
 
 // exchange exchanges load and held blocks with the other control instances, all at once.
@@ -103,8 +103,9 @@
 
 func (e *meshExchange) run(ctx context.Context) {
 	defer e.group.Done()
-	request := &peer.ShareRequest{Incarnation: e.mesh.self, Control: true, Server: e.position.server, Seen: e.position.seen}
-	next := uint64(0)
+	request := &peer.ShareRequest{Incarnation: e.mesh.self, Control: true, Server: e.position.server, Seen: e.position.seen, LimitsSeen: e.position.limitsSeen}
+	next, nextLimits := uint64(0), uint64(0)
+	request.Limits, nextLimits = e.mesh.aggregator.LimitsSince(e.position.limitsSent)
 	request.Work, request.Held, next = e.mesh.aggregator.Local(e.position.sent)
 	response, err := e.mesh.dialer.Peer(e.address).Share(ctx, request)
 	if err != nil {
@@ -114,8 +115,8 @@
 	}
 	if response.Server != e.position.server {
 		// A control instance that has started lacks what was sent to the one before.
-		next = 0
+		next, nextLimits = 0, 0
 	}
-	e.position.sent, e.position.server, e.position.seen = next, response.Server, response.Seen
-	e.mesh.aggregator.SetControl(e.address, response.Work, response.Held)
+	*e.position = meshPosition{sent: next, limitsSent: nextLimits, server: response.Server, seen: response.Seen, limitsSeen: response.LimitsSeen}
+	e.mesh.aggregator.SetControl(e.address, response)
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -13,6 +13,7 @@
 	"auburnscale/control"
 	"auburnscale/event"
 	"auburnscale/peer"
+	"auburnscale/permit"
 	"auburnscale/quarantine"
 	"auburnscale/quorum"
 	"auburnscale/roster"
@@ -167,7 +168,7 @@
 }
 
 func TestAggregatorSumsOtherEntries(t *testing.T) {
-	aggregator := NewLoadAggregator("c")
+	aggregator := NewLoadAggregator("c", permit.NewBook(clock.Now))
 	exchange := func(incarnation string, tokens int64) *peer.ShareResponse {
 		return aggregator.Exchange(&peer.ShareRequest{Incarnation: incarnation, Work: []*peer.TargetWork{{Target: "t", Tokens: tokens, Requests: 1}}})
 	}
