Enforce token rates of workspaces over all instances

A request that cost more than an instance's part of the burst was charged the part only.

The control leader now holds one bucket for each limit. A request is charged in full, also what it costs beyond the burst. While no leader answers, each instance uses an equal part, and goes into debt.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -128,14 +128,58 @@
 	const instances, rate, burst = 4, 400.0, 800.0
 	taken := 0.0
 	for range instances {
-		l := NewLimits()
-		for l.Take("guild", rate, burst, 50, instances) == nil {
+		l := NewLimits(&sharedBucket{err: errors.New("no leader")})
+		for l.Take(context.Background(), "guild", rate, burst, 50, instances) == nil {
 			taken += 50
 		}
 	}
 	require.InDelta(t, burst, taken, 0.1*burst)
 }
 
+// TestLimitHoldsForLargeRequestsAtManyInstances lets a workspace send requests that cost more than
+// an instance's part of the burst to hundreds of instances at once. All together must not be
+// charged less than they cost: the limit holds up to the burst and one request.
+func TestLimitHoldsForLargeRequestsAtManyInstances(t *testing.T) {
+	const rate, burst, cost, instances = 100, 3000, 1000, 300
+	shared := &sharedBucket{tokens: burst}
+	taken := 0
+	for range instances {
+		l := NewLimits(shared)
+		for l.Take(context.Background(), "guild", rate, burst, cost, instances) == nil {
+			taken += cost
+		}
+	}
+	require.LessOrEqual(t, taken, burst+cost)
+	require.GreaterOrEqual(t, taken, burst-cost)
+}
+
+// TestLimitWithoutLeader checks that an instance that reaches no leader goes on with an equal
+// part, and charges a request that costs more than its part with all of it.
+func TestLimitWithoutLeader(t *testing.T) {
+	l := NewLimits(&sharedBucket{err: errors.New("no leader")})
+	require.NoError(t, l.Take(context.Background(), "guild", 100, 300, 500, 3))
+	var refusal *Refusal
+	require.ErrorAs(t, l.Take(context.Background(), "guild", 100, 300, 50, 3), &refusal)
+	require.Greater(t, refusal.RetryAfter(), 12*time.Second, "400 tokens of debt and 50 more, at 33 a second")
+}
+
+// sharedBucket is a bucket that all instances share and that is not refilled.
+type sharedBucket struct {
+	tokens float64
+	err    error
+}
+
+func (b *sharedBucket) TakeTokens(_ context.Context, _ string, _, _, amount float64) (time.Duration, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	if b.tokens <= 0 {
+		return time.Second, nil
+	}
+	b.tokens -= amount
+	return 0, nil
+}
+
 func BenchmarkAcquire(b *testing.B) {
 	q := New(Config{Fair: true, FirstTokenLimit: time.Hour, MaxQueue: 100}, newFakeTargets(1<<40))
 	for i := range 1000 {
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -227,7 +227,7 @@
 // queue. On success the completion holds a ticket.
 func (s *Server) admit(ctx context.Context, c *completion) *Failure {
 	cost := admit.Cost(engine.PromptTokens(c.prompt), c.maxTokens)
-	if failure := s.takeRateLimit(c.identity, c.model, cost); failure != nil {
+	if failure := s.takeRateLimit(ctx, c.identity, c.model, cost); failure != nil {
 		return failure
 	}
 	if len(c.service.Fleet().Targets()) == 0 {
@@ -261,14 +261,14 @@
 
 // takeRateLimit takes the cost, in tokens, from the workspace's rate limit for the
 // service, if the configuration sets one.
-func (s *Server) takeRateLimit(identity callerIdentity, model string, cost float64) *Failure {
+func (s *Server) takeRateLimit(ctx context.Context, identity callerIdentity, model string, cost float64) *Failure {
 	serviceSpec := identity.view.Snapshot().ServiceOfModel(model)
 	limit, ok := identity.view.Snapshot().Limit(identity.workspace.Name, serviceSpec.Name)
 	if !ok {
 		return nil
 	}
 	name := identity.workspace.Name + "\x00" + serviceSpec.Name
-	if err := s.rateLimits.Take(name, limit.TokensPerSecond, limit.BurstTokens, cost, identity.view.Instances()); err != nil {
+	if err := s.rateLimits.Take(ctx, name, limit.TokensPerSecond, limit.BurstTokens, cost, identity.view.Instances()); err != nil {
 		return admissionFailure(err, CodeRateLimited)
 	}
 	return nil
--- a/caller/server.go
+++ b/caller/server.go
@@ -72,6 +72,7 @@
 	Registry       *target.Registry
 	Engines        *engine.Client
 	Services       *plainservice.Client
+	Tokens         admit.SharedBuckets
 	Proposer       Proposer
 	Recorder       Recorder
 	Budget         *retry.Budget
@@ -112,7 +113,7 @@
 func New(config Config, deps Dependencies) *Server {
 	s := &Server{config: config, deps: deps, idPrefix: fmt.Sprintf("%s-%08x-", config.Instance, rand.Uint32())}
 	s.claims = newClaimer(deps.Proposer)
-	s.rateLimits = admit.NewLimits()
+	s.rateLimits = admit.NewLimits(deps.Tokens)
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "auburnscale", ReadBufferSize: config.MaxHeaderBytes,
 		MaxRequestBodySize: config.MaxBodyBytes, Concurrency: config.MaxConnections,
--- a/permit/client.go
+++ b/permit/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"time"
 
 	"auburnscale/peer"
 )
@@ -35,33 +36,58 @@
 	return &Client{incarnation: incarnation, addresses: addresses, dialer: dialer}
 }
 
-// Ask asks the leader for a permit. It asks the control instances in turn until one of them
-// leads, or the context ends.
-func (c *Client) Ask(ctx context.Context, limit *peer.TargetLimit) (*peer.PermitResponse, error) {
-	err := errNoLeader
+// Ask asks the leader for a permit.
+func (c *Client) Ask(ctx context.Context, limit *peer.TargetLimit) (response *peer.PermitResponse, err error) {
+	return response, c.askLeader(ctx, func(control peer.Peer) (bool, string, error) {
+		response, err = control.IssuePermit(ctx, &peer.PermitRequest{Incarnation: c.incarnation, Limit: limit})
+		return response.GetCurrent(), response.GetLeader(), err
+	})
+}
+
+// TakeTokens takes the amount from the leader's bucket of that name, which refills at perSecond
+// up to burst. If the bucket is empty it returns the time until it is not.
+func (c *Client) TakeTokens(ctx context.Context, bucket string, perSecond, burst, amount float64) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var response *peer.TokenResponse
+	err := c.askLeader(ctx, func(control peer.Peer) (bool, string, error) {
+		var err error
+		response, err = control.TakeTokens(ctx, &peer.TokenRequest{Bucket: bucket, PerSecond: perSecond, Burst: burst, Amount: amount})
+		return response.GetCurrent(), response.GetLeader(), err
+	})
+	if err != nil || response.Taken {
+		return 0, err
+	}
+	return max(minWait, time.Duration(response.WaitMs)*time.Millisecond), nil
+}
+
+// askLeader asks the control instances in turn until one of them leads, or the context ends.
+// The function returns whether the control instance leads, and the address of the leader if that
+// is known there.
+func (c *Client) askLeader(ctx context.Context, ask func(peer.Peer) (current bool, leader string, err error)) error {
+	result := errNoLeader
 	var asked []string
 	for address := c.next(nil); address != ""; address = c.next(asked) {
 		asked = append(asked, address)
-		var response *peer.PermitResponse
-		response, err = c.dialer.Peer(address).IssuePermit(ctx, &peer.PermitRequest{Incarnation: c.incarnation, Limit: limit})
+		current, leader, err := ask(c.dialer.Peer(address))
 		switch {
-		case err == nil && response.Current:
+		case err == nil && current:
 			c.setLeader(address)
-			return response, nil
+			return nil
 		case err == nil:
-			err = errNoLeader
-			c.setLeader(response.Leader)
+			c.setLeader(leader)
 		case errors.Is(ctx.Err(), context.DeadlineExceeded):
 			// Another one may answer the next question in time.
 			c.setLeader(c.other(asked))
-			return nil, err
+			return err
 		case ctx.Err() != nil:
-			return nil, err
+			return err
 		default:
+			result = err
 			c.setLeader("")
 		}
 	}
-	return nil, err
+	return result
 }
 
 // next returns the address to ask after the given ones: that of the leader if it is known, or
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -209,3 +209,28 @@
 		issuer.Issue(request)
 	}
 }
+
+// TestTokensAreOwed checks that a request that costs more than the burst is charged in full, that
+// the wait that is named suffices, and that a new term begins with one burst.
+func TestTokensAreOwed(t *testing.T) {
+	c := newClock()
+	s := &simulation{term: 1}
+	tokens := NewTokens(&simulatedLeader{simulation: s}, c.now)
+	take := func(amount float64) *peer.TokenResponse {
+		return tokens.Take(&peer.TokenRequest{Bucket: "guild", PerSecond: 100, Burst: 300, Amount: amount})
+	}
+	require.True(t, take(1000).Taken)
+	refused := take(50)
+	require.True(t, refused.Current)
+	require.False(t, refused.Taken)
+	require.EqualValues(t, 7500, refused.WaitMs, "700 are owed and 50 wanted, at 100 a second")
+	c.pass(time.Duration(refused.WaitMs) * time.Millisecond)
+	require.True(t, take(50).Taken)
+	s.term = 2
+	require.True(t, take(300).Taken)
+	require.False(t, take(1).Taken)
+	s.leading = 1
+	require.False(t, take(0).Current)
+	s.leading = 0
+	require.False(t, tokens.Take(&peer.TokenRequest{Bucket: "guild", PerSecond: math.NaN(), Burst: 1}).Current)
+}
--- a/serve/control.go
+++ b/serve/control.go
@@ -227,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects, newIssuer(c.voter, nil, c.limits)).(*peerServer), c}), nil)
+	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects, permit.NewIssuer(leadership{voter: c.voter}, c.limits, clock.Now)).(*peerServer), c}), nil)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
--- a/serve/leadership.go
+++ b/serve/leadership.go
@@ -2,7 +2,6 @@
 
 import (
 	"auburnscale/clock"
-	"auburnscale/permit"
 	"auburnscale/voter"
 )
 
@@ -32,8 +31,3 @@
 	}
 	return ""
 }
-
-// newIssuer returns the issuer of a voter that has the limits of the book.
-func newIssuer(v *voter.Voter, addresses map[uint64]string, limits *permit.Book) *permit.Issuer {
-	return permit.NewIssuer(leadership{v, addresses}, limits, clock.Now)
-}
--- a/serve/peer_server.go
+++ b/serve/peer_server.go
@@ -17,12 +17,13 @@
 )
 
 // peerServer serves the peer protocol, which instances speak among each other.
-// voter, table, suspects and issuer are nil on an instance that is not a voter.
+// voter, table, suspects, issuer and tokens are nil on an instance that is not a voter.
 type peerServer struct {
 	voter         *voter.Voter
 	table         *member.Table
 	suspects      *quarantine.Board
 	issuer        *permit.Issuer
+	tokens        *permit.Tokens
 	counterHolder counterHolder
 }
 
@@ -98,6 +99,14 @@
 	return s.issuer.Issue(request), nil
 }
 
+// TakeTokens takes tokens from the bucket of a workspace's limit, if this voter leads.
+func (s *peerServer) TakeTokens(_ context.Context, request *peer.TokenRequest) (*peer.TokenResponse, error) {
+	if s.tokens == nil {
+		return nil, errNotVoter
+	}
+	return s.tokens.Take(request), nil
+}
+
 // Hold keeps a copy of another instance's usage counters.
 func (s *peerServer) Hold(_ context.Context, request *peer.HoldRequest) (*peer.HoldResponse, error) {
 	s.counterHolder.Hold(request.Counters)
--- a/serve/process.go
+++ b/serve/process.go
@@ -94,8 +94,10 @@
 	controlClient *member.ControlClient
 	// suspects is nil on an instance that is not a voter.
 	suspects *quarantine.Board
-	// issuer is nil on an instance that is not a voter.
+	// issuer and tokens are nil on an instance that is not a voter.
 	issuer          *permit.Issuer
+	tokens          *permit.Tokens
+	permitClient    *permit.Client
 	blocks          *quarantine.Blocks
 	suspectReporter *watch.SuspectReporter
 	proposer        *member.Proposer
@@ -168,7 +170,7 @@
 }
 
 func (p *Process) listenForPeers() error {
-	server := &peerServer{voter: p.voter, table: p.table, suspects: p.suspects, issuer: p.issuer, counterHolder: p.recorder}
+	server := &peerServer{voter: p.voter, table: p.table, suspects: p.suspects, issuer: p.issuer, tokens: p.tokens, counterHolder: p.recorder}
 	var err error
 	p.linkServer, err = transport.Listen(p.settings.Listen.Peer, transport.Handler(p.peerKey, server), p.certificates)
 	if err != nil {
@@ -214,7 +216,9 @@
 		Limits: control.Limits{ClaimRetain: p.settings.Control.ClaimRetain.AsDuration()}, Incarnation: p.incarnation,
 		Seed: uint64(time.Now().UnixNano()),
 	}, folder, p.senders, p.logger)
-	p.issuer = newIssuer(p.voter, p.voterAddresses(), permit.NewBook(clock.Now))
+	leads := leadership{p.voter, p.voterAddresses()}
+	p.issuer = permit.NewIssuer(leads, permit.NewBook(clock.Now), clock.Now)
+	p.tokens = permit.NewTokens(leads, clock.Now)
 	p.suspects = quarantine.NewBoard(p.incarnation, quarantine.NewEvidence(clock.Now, nil, p.logger))
 	p.table = member.NewTable(p.voter, p.suspects, clock.Now, p.settings.Control.SyncInterval.AsDuration(), p.settings.Control.Freshness.AsDuration())
 	return nil
@@ -238,10 +242,11 @@
 		return err
 	}
 	engines := engine.New(p.dialer)
+	p.permitClient = permit.NewClient(p.incarnation, p.voterPeerAddresses, p.client)
 	p.registry = target.NewRegistry(target.Config{
 		FailureDomain: p.settings.FailureDomain, ProbeInterval: p.settings.Control.ProbeInterval.AsDuration(), Policy: policy,
 		Queue: admit.Config{Fair: p.settings.Policy.Admission == "fair", FirstTokenLimit: p.settings.Caller.FirstToken.AsDuration(), MaxQueue: maxQueuedRequests},
-	}, p.controlClient, engines, permit.NewGate(clock.Now, permit.NewClient(p.incarnation, p.voterPeerAddresses, p.client)), p.logger)
+	}, p.controlClient, engines, permit.NewGate(clock.Now, p.permitClient), p.logger)
 	p.dialer.OnResponse(p.registry.RecordResponse)
 	if err := p.buildCallerServer(engines); err != nil {
 		return err
@@ -274,7 +279,7 @@
 	}
 	p.callerServer = caller.New(config, caller.Dependencies{
 		Views: p.controlClient, Registry: p.registry, Engines: engines, Services: plainservice.New(p.dialer, p.settings.Caller.BodyBytes),
-		Proposer: p.proposer, Recorder: p.recorder, Budget: retry.NewBudget(p.settings.Policy.Retries, p.settings.Policy.RetryShare), Blocks: p.blocks,
+		Tokens: p.permitClient, Proposer: p.proposer, Recorder: p.recorder, Budget: retry.NewBudget(p.settings.Policy.Retries, p.settings.Policy.RetryShare), Blocks: p.blocks,
 		Metrics: scope, MetricsHandler: scrape, Logger: p.logger,
 	})
 	return p.callerServer.Listen(p.settings.Listen.Caller)
