Let targets name rate limits in the soak, and check them

The check counts, in every 4 s, the requests of entry instances that had passed on a response of the target, and leaves out instances during and after their own faults.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -34,9 +34,26 @@
 	if !r.fault.Kind.Planned() {
 		defer r.env.history.beginFault()()
 	}
+	defer r.env.history.beginEntryFault(r.disturbedEntries()...)()
 	r.inject(ctx)
 }
 
+// disturbedEntries returns the names of the entry instances that the fault stops, cuts off or
+// resets.
+func (r *faultRun) disturbedEntries() (names []string) {
+	switch r.fault.Kind {
+	case KillEntry, PauseEntry, ResetEntry, StallEntry, StopEntry:
+		return []string{r.entry().name}
+	case PartitionDomain:
+		for _, i := range r.env.entries {
+			if domainOf(i.host) == domainOf(r.fault.Selector) {
+				names = append(names, i.name)
+			}
+		}
+	}
+	return names
+}
+
 func (r *faultRun) entry() *instance   { return r.env.entries[r.fault.Selector%len(r.env.entries)] }
 func (r *faultRun) control() *instance { return r.env.controls[r.fault.Selector%len(r.env.controls)] }
 func (r *faultRun) target() *target    { return r.env.targets[r.fault.Selector%len(r.env.targets)] }
--- a/soak/history.go
+++ b/soak/history.go
@@ -89,6 +89,10 @@
 	PlannedStops []Span
 	Drains       []Span
 	FaultSpans   []Span
+	// EntryFaults are the faults and restarts of single entry instances, by their names.
+	EntryFaults []Span
+	// LimitedTargets holds, for each time that a target named rate limits, what arrived there.
+	LimitedTargets [][]standin.LimitedArrival
 	// TargetCrashes are the crashes under crashingBlock, until the next start of the target.
 	TargetCrashes []Span
 	// LastFaultEnd is when the last fault ended. RecoveryDue is the time from
@@ -129,6 +133,19 @@
 	return func() { h.withLock(func() { h.FaultSpans[n].To = time.Now() }) }
 }
 
+// beginEntryFault records the start of a fault of the entry instances and returns a function that
+// records its end.
+func (h *History) beginEntryFault(entries ...string) (end func()) {
+	from := time.Now()
+	return func() {
+		h.withLock(func() {
+			for _, name := range entries {
+				h.EntryFaults = append(h.EntryFaults, Span{From: from, To: time.Now(), Name: name})
+			}
+		})
+	}
+}
+
 func (h *History) stop(s Span) { h.withLock(func() { h.PlannedStops = append(h.PlannedStops, s) }) }
 
 func (h *History) drain(s Span) { h.withLock(func() { h.Drains = append(h.Drains, s) }) }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -115,6 +115,7 @@
 		return report, err
 	}
 	e.startTraffic(ctx)
+	e.limitTargets(ctx)
 	e.injectFaults(ctx, report.Faults)
 	e.awaitRecovery(ctx)
 	e.sleep(ctx, observationTime)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -118,6 +118,7 @@
 		{"API keys do not reach targets", "key forwarded", func(h *History) {
 			h.Arrivals = []Arrival{{Target: "i", ID: "a", Workspace: workspaceName, Key: "Bearer x", At: atSecond(2)}}
 		}},
+		{"targets get no more than their rate limits", "too many in a window", func(h *History) { h.LimitedTargets = limitedArrivals(h, 12) }},
 		{"API keys do not reach targets", "wrong workspace", func(h *History) { h.Arrivals = []Arrival{{Target: "i", ID: "a", Workspace: "other", At: atSecond(2)}} }},
 		{"configuration versions never go back", "older after newer", func(h *History) { version(h, 3, 4, 200); version(h, 2, 5, 200) }},
 		{"invalid configurations are never in effect", "served", func(h *History) { h.Invalid[2] = true; version(h, 2, 5, 200) }},
@@ -200,6 +201,16 @@
 }
 
 // beginRuns lets n requests begin, evenly spread between the seconds.
+// limitedArrivals returns the arrivals at a target that names a limit of 1 a second, which
+// tolerates 11 in 4 s: one before the contact time and n after it.
+func limitedArrivals(h *History, n int) [][]standin.LimitedArrival {
+	arrivals := []standin.LimitedArrival{{At: atSecond(40), ID: "last", PerSecond: 1}}
+	for i := range n {
+		arrivals = append(arrivals, standin.LimitedArrival{At: atSecond(44 + float64(i)/10), ID: "last", PerSecond: 1})
+	}
+	return [][]standin.LimitedArrival{arrivals}
+}
+
 func beginRuns(h *History, n int, from, to float64) {
 	for i := range n {
 		h.Begun[fmt.Sprint("run", from, i)] = atSecond(from + (to-from)*float64(i)/float64(n))
@@ -234,6 +245,8 @@
 		{At: atSecond(1), Subject: "s", Holder: "a", Fence: 4}, {At: atSecond(2), Subject: "s", Holder: "b", Fence: 5},
 		{At: atSecond(8.1), Subject: "s", Holder: "a", Fence: 4},
 	}
+	h.LimitedTargets = limitedArrivals(h, 12)
+	h.EntryFaults = []Span{{From: atSecond(43), To: atSecond(43.5), Name: "entry0"}}
 	require.Empty(t, h.Check(configuredBounds))
 }
 
--- a/soak/target.go
+++ b/soak/target.go
@@ -39,6 +39,8 @@
 	// drainAcked is closed once the drain announcement was acknowledged.
 	drainAcked chan struct{}
 	stopped    bool
+	// limiting is held while a series of rate limits lasts.
+	limiting sync.Mutex
 	// endlessBytes counts what the target sent in responses without end.
 	endlessBytes atomic.Int64
 }
