Deliver the last usage counters of an instance that stops

Cause: counters of started requests travel with polls, which are held for a second and more. What grew during the last hold was lost with the instance, since a stop cancelled the poll; the window also waited five seconds for the instance that had gone. And only the leader dropped counters of closed windows, so those of the others grew without bound.

Change: a stopping instance sends a last request that is not held and that ends its membership; control instances pass on the counters of instances that stopped; every control instance drops closed windows.

--- a/event/event.go
+++ b/event/event.go
@@ -102,6 +102,7 @@
 	LogLinesDropped       = define(108, "lines_left_out", zapcore.WarnLevel, "log lines were dropped because they exceeded the rate limit or the queue; total is their number since the start")
 	NoPeerKey             = define(106, "no_inner_key", zapcore.WarnLevel, "the settings name no peer key, so instances do not authenticate to each other; only the network restricts access")
 	CounterBackupFailed   = define(601, "hold_failed", zapcore.WarnLevel, "no second instance stored a copy of the usage counters in time")
+	FlushFailed           = define(603, "flush_failed", zapcore.WarnLevel, "a control instance did not take the last counters of started requests of this instance, which stops")
 	WindowClosed          = define(602, "window_closed", zapcore.InfoLevel, "the totals of a usage window were committed")
 )
 
--- a/serve/control.go
+++ b/serve/control.go
@@ -288,12 +288,21 @@
 			return
 		case <-ticker.C:
 			c.updateGauges()
+			c.dropClosedWindows()
 			c.roster.Tick()
 			c.roster.EndExpiredSwitches()
 		}
 	}
 }
 
+// dropClosedWindows drops the counters of usage windows that the control group has closed, also if
+// another instance leads.
+func (c *Control) dropClosedWindows() {
+	var last int64
+	c.voter.Read(func(m *control.Machine) { last = m.LastClosedWindow() })
+	c.watchServer.DropWindowsBefore(last)
+}
+
 // updateGauges sets the gauges of this instance's state.
 func (c *Control) updateGauges() {
 	status := c.voter.Status()
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -88,9 +88,13 @@
 	}
 }
 
-// HandleResponse merges the targets that another control instance knows. Control
-// instances receive configurations only through the replicated log.
-func (c *Control) HandleResponse(response *peer.WatchResponse) { c.roster.Merge(response.Rows) }
+// HandleResponse merges the targets, and the counters of entry instances that stopped, that another
+// control instance knows. Control instances receive configurations only through the replicated
+// log.
+func (c *Control) HandleResponse(response *peer.WatchResponse) {
+	c.roster.Merge(response.Rows)
+	c.watchServer.MergeEnded(response.Ended)
+}
 
 // controlPeerServer serves the peer protocol on a control instance.
 type controlPeerServer struct {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -49,6 +49,9 @@
 	// itself isolated. An election and the repair of the control group take one or
 	// two.
 	isolationContactTimes = 3
+	// flushTimeout bounds the last report of an instance that stops. It fits into the time that
+	// the gateway leaves for the process to exit.
+	flushTimeout = 400 * time.Millisecond
 	// shutdownNotice is how long a stopping instance accepts requests after it has
 	// ceased to be ready. It covers two readiness probes of the load balancer,
 	// which come every second.
@@ -149,6 +152,9 @@
 	e.loadExchanger.Stop()
 	e.suspectReporter.Stop()
 	e.watchClient.Stop()
+	flushing, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	e.watchClient.Flush(flushing)
 	e.metricsServer.close()
 	e.logger.Log(event.Stopped, zap.Int64("open", open))
 	return nil
--- a/watch/client.go
+++ b/watch/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +81,8 @@
 	server   string
 	roster   uint64
 	counters sentCounters
+	// endedSeen is the position in the server's counters of entry instances that stopped.
+	endedSeen uint64
 	// failures counts consecutive failed requests.
 	failures int
 	// unreachable is set from the first failure to the next success.
@@ -114,6 +117,30 @@
 	c.group.Wait()
 }
 
+// Flush sends the last request of this instance to all control instances, with the counters that
+// they lack. It is called at a planned stop, after Stop.
+func (c *Client) Flush(ctx context.Context) {
+	c.mutex.Lock()
+	loops := slices.Collect(maps.Values(c.loops))
+	c.mutex.Unlock()
+	var group sync.WaitGroup
+	for _, l := range loops {
+		group.Go(func() { l.flush(ctx) })
+	}
+	group.Wait()
+}
+
+// flush sends the last request. What it does not deliver is lost with this instance, so that it
+// is only logged.
+func (l *pollLoop) flush(ctx context.Context) {
+	request := l.client.sink.Request()
+	request.Server, request.Roster, request.Last, request.Spare = l.server, l.roster, true, true
+	request.Begun = l.counters.missing(request.Begun)
+	if _, err := l.client.dialer.Peer(l.address).Watch(ctx, request); err != nil {
+		l.client.logger.Log(event.FlushFailed, zap.String("address", l.address), zap.Int("counters", len(request.Begun)), zap.Error(err))
+	}
+}
+
 // Addresses returns the peer addresses of the control instances being polled, in
 // no particular order.
 func (c *Client) Addresses() []string {
@@ -223,7 +250,7 @@
 // whether the request succeeded.
 func (l *pollLoop) poll() (time.Duration, bool) {
 	request := l.client.sink.Request()
-	request.Server, request.Roster = l.server, l.roster
+	request.Server, request.Roster, request.EndedSeen = l.server, l.roster, l.endedSeen
 	begun := request.Begun
 	request.Begun = l.counters.missing(begun)
 	var wait time.Duration
@@ -251,7 +278,7 @@
 	l.client.recordResponder(l.address, response)
 	l.client.sink.HandleResponse(response)
 	if response.Full || l.server == response.Server {
-		l.server, l.roster = response.Server, response.Roster
+		l.server, l.roster, l.endedSeen = response.Server, response.Roster, response.EndedSeen
 	}
 	l.client.updateReplicas(response)
 	l.client.noteReceived(response.Document.GetVersion())
--- a/watch/server.go
+++ b/watch/server.go
@@ -82,6 +82,10 @@
 	// watchers holds the polling instances by incarnation.
 	watchers map[string]*watcher
 	counters map[counterKey]int64
+	// ended lists the keys of the counters of entry instances that stopped. endedBefore is the
+	// number of those that were dropped from its start.
+	ended       []counterKey
+	endedBefore uint64
 	// suspicions holds crash reports by request fingerprint and by the reporting
 	// incarnation.
 	suspicions map[uint64]map[string]crashReport
@@ -152,6 +156,44 @@
 		s.counters[key] = max(s.counters[key], c.Requests)
 	}
 	s.recordSuspicions(request, now)
+	if request.Last {
+		s.endLocked(request.Incarnation)
+	}
+}
+
+// endLocked removes an instance that has sent its last request, or none for long.
+func (s *Server) endLocked(incarnation string) {
+	delete(s.watchers, incarnation)
+	for k := range s.counters {
+		if k.source == incarnation {
+			s.ended = append(s.ended, k)
+		}
+	}
+}
+
+// endedSinceLocked returns the counters of entry instances that stopped, from the position on,
+// and the position after them.
+func (s *Server) endedSinceLocked(position uint64) (list []*peer.BegunCounter, next uint64) {
+	next = s.endedBefore + uint64(len(s.ended))
+	for at := max(position, s.endedBefore); at < next; at++ {
+		k := s.ended[at-s.endedBefore]
+		if s.counters[k] == 0 {
+			continue
+		}
+		list = append(list, &peer.BegunCounter{Source: k.source, Window: k.window, Workspace: k.workspace, Requests: s.counters[k]})
+	}
+	return list, next
+}
+
+// MergeEnded records counters of entry instances that stopped, which another control instance
+// knows.
+func (s *Server) MergeEnded(counters []*peer.BegunCounter) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, c := range counters {
+		key := counterKey{c.Source, c.Window, c.Workspace}
+		s.counters[key] = max(s.counters[key], c.Requests)
+	}
 }
 
 // recordSuspicions stores the crash reports of a request and wakes waiting
@@ -188,7 +230,7 @@
 // waitForChange returns when there is state that the requester lacks, after
 // the hold, or at once if its revision belongs to another incarnation.
 func (s *Server) waitForChange(ctx context.Context, request *peer.WatchRequest) {
-	if request.Server != s.incarnation || s.needsAges(request) {
+	if request.Server != s.incarnation || request.Last || s.needsAges(request) {
 		return
 	}
 	timer := time.NewTimer(holdOf(request))
@@ -309,7 +351,13 @@
 	response.Suspicions = s.suspicionsLocked()
 	if !request.Control {
 		response.Suspects = s.suspects.List()
+		return response
 	}
+	seen := request.EndedSeen
+	if request.Server != s.incarnation {
+		seen = 0
+	}
+	response.Ended, response.EndedSeen = s.endedSinceLocked(seen)
 	return response
 }
 
@@ -320,7 +368,7 @@
 	count := int32(0)
 	for id, w := range s.watchers {
 		if now-w.lastContact > watcherTimeout && s.contacts.Conclusive(now) {
-			delete(s.watchers, id)
+			s.endLocked(id)
 			continue
 		}
 		if !w.control {
@@ -427,4 +475,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	maps.DeleteFunc(s.counters, func(k counterKey, _ int64) bool { return k.window < before })
+	kept := slices.IndexFunc(s.ended, func(k counterKey) bool { return k.window >= before })
+	if kept < 0 {
+		kept = len(s.ended)
+	}
+	s.ended = slices.Clone(s.ended[kept:])
+	s.endedBefore += uint64(kept)
 }
