Log limits that other instances report, and count permits

A limit that an instance learned from another one changed where it sends requests without a line in its log; the leader had no figure for the permits it issued and refused. No change in what is sent.

--- a/event/event.go
+++ b/event/event.go
@@ -78,6 +78,7 @@
 	TargetPaused          = define(412, "target_paused", zapcore.InfoLevel, "a target that turned a request away asked for a pause; this instance sends it nothing for pause_ms; bounded tells that it asked for another time, or for one that cannot be understood")
 	TargetLimited         = define(415, "target_limited", zapcore.InfoLevel, "a target named another rate limit in a response than before, per_second for all instances together, or none any more (named is false)")
 	TargetLimitInvalid    = define(416, "target_limit_invalid", zapcore.WarnLevel, "a target named a rate limit that cannot be understood; what was known before holds")
+	LimitReported         = define(418, "limit_reported", zapcore.InfoLevel, "another instance was told of a rate limit of a target, or of its end, age_ms ago; it holds here as well")
 	PermitRefused         = define(417, "permit_refused", zapcore.InfoLevel, "a request was not sent to a target whose rate limit is used up, for wait_ms nothing is sent there; reason exhausted: the control leader issued no permit; own_part: no leader answers, and this instance's part is used up; no_leader: no leader answers, and nothing is known to be left")
 	TargetEjected         = define(409, "target_ejected", zapcore.WarnLevel, "a target reached the failure limit and receives no new requests for some time")
 	DomainReachable       = define(410, "domain_back", zapcore.InfoLevel, "a target of an unreachable failure domain answers again")
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -97,4 +97,8 @@
 func (f *Fleets) LimitReports(all bool) []*peer.TargetLimit { return f.gate.Reports(all) }
 
 // MergeLimits records the limits that other instances know.
-func (f *Fleets) MergeLimits(limits []*peer.TargetLimit) { f.gate.Merge(limits) }
+func (f *Fleets) MergeLimits(limits []*peer.TargetLimit) {
+	for _, l := range f.gate.Merge(limits) {
+		f.logger.Log(event.LimitReported, zap.String("target", l.Target), zap.String("incarnation", l.Incarnation), zap.Bool("named", !l.Ended), zap.Float64("per_second", l.PerSecond), zap.Int64("age_ms", l.AgeMs))
+	}
+}
--- a/permit/book.go
+++ b/permit/book.go
@@ -43,21 +43,22 @@
 // NewBook returns an empty book on the clock.
 func NewBook(now func() time.Duration) *Book { return &Book{now: now, limits: map[key]*limit{}} }
 
-// Merge records a limit that another instance knows. It returns what is known instead if that
-// is younger and differs, and else nil. Limits that make no sense are ignored.
-func (b *Book) Merge(news *peer.TargetLimit) *peer.TargetLimit {
+// Merge records a limit that another instance knows, and reports whether that changes what is
+// known. It returns what is known instead if that is younger and differs, and else nil. Limits
+// that make no sense are ignored.
+func (b *Book) Merge(news *peer.TargetLimit) (changed bool, correction *peer.TargetLimit) {
 	if news == nil || news.Target == "" || math.IsNaN(news.PerSecond) || math.IsInf(news.PerSecond, 0) || news.PerSecond < 0 {
-		return nil
+		return false, nil
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now, k := b.now(), key{news.Target, news.Incarnation}
 	age := min(max(0, news.AgeMs), limitTTL.Milliseconds())
-	b.record(k, news.PerSecond, news.Ended, now-time.Duration(age)*time.Millisecond)
+	changed = b.record(k, news.PerSecond, news.Ended, now-time.Duration(age)*time.Millisecond)
 	if known := b.limits[k]; known != nil && (known.ended != news.Ended || known.perSecond != news.PerSecond) {
-		return known.message(k, now)
+		correction = known.message(k, now)
 	}
-	return nil
+	return changed, correction
 }
 
 // record records news of the given time and reports whether it changes what is known.
--- a/permit/gate.go
+++ b/permit/gate.go
@@ -131,11 +131,15 @@
 	return keys
 }
 
-// Merge records the limits that other instances know.
-func (g *Gate) Merge(limits []*peer.TargetLimit) {
+// Merge records the limits that other instances know, and returns those that change what is
+// known.
+func (g *Gate) Merge(limits []*peer.TargetLimit) (changed []*peer.TargetLimit) {
 	for _, l := range limits {
-		g.book.Merge(l)
+		if news, _ := g.book.Merge(l); news {
+			changed = append(changed, l)
+		}
 	}
+	return changed
 }
 
 // Limited returns the number of starts of targets that have a limit.
--- a/permit/issuer.go
+++ b/permit/issuer.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburnscale/peer"
@@ -27,8 +28,16 @@
 	mutex   sync.Mutex
 	term    uint64
 	buckets map[key]*bucket
+
+	issued, refused atomic.Int64
 }
 
+// Issued returns the number of permits that were issued so far.
+func (i *Issuer) Issued() int64 { return i.issued.Load() }
+
+// Refused returns the number of permits that were refused so far.
+func (i *Issuer) Refused() int64 { return i.refused.Load() }
+
 // A bucket holds the tokens of one start of a target.
 type bucket struct {
 	tokens float64
@@ -62,6 +71,11 @@
 	if now, still := i.leadership.Leading(); !still || now != term {
 		return &peer.PermitResponse{Leader: i.leadership.LeaderAddress()}
 	}
+	if response.Issued {
+		i.issued.Add(1)
+	} else {
+		i.refused.Add(1)
+	}
 	return response
 }
 
--- a/serve/control.go
+++ b/serve/control.go
@@ -78,6 +78,7 @@
 	suspects       *quarantine.Board
 	watchServer    *watch.Server
 	limits         *permit.Book
+	issuer         *permit.Issuer
 	loadAggregator *watch.LoadAggregator
 	loadMesh       *watch.LoadMesh
 	watchClient    *watch.Client
@@ -151,6 +152,7 @@
 	c.suspects = quarantine.NewBoard(c.incarnation, quarantine.NewEvidence(clock.Now, c.roster, c.logger))
 	c.watchServer = watch.NewServer(c.incarnation, c.voter, c.roster, c.suspects)
 	c.limits = permit.NewBook(clock.Now)
+	c.issuer = permit.NewIssuer(leadership{voter: c.voter}, c.limits, clock.Now)
 	c.loadAggregator = watch.NewLoadAggregator(c.incarnation, c.limits)
 	c.watchClient = watch.NewClient(self.Address, c.outboundClients.client, c, c.logger)
 	c.loadMesh = watch.NewLoadMesh(self.Address, c.loadAggregator, c.watchClient.Addresses, c.watchServer.Entries, c.outboundClients.client)
@@ -227,7 +229,7 @@
 	if err != nil {
 		return err
 	}
-	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects, permit.NewIssuer(leadership{voter: c.voter}, c.limits, clock.Now)).(*peerServer), c}), nil)
+	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects, c.issuer).(*peerServer), c}), nil)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
@@ -318,6 +320,8 @@
 	c.metrics.Gauge("control_log_bytes").Update(float64(c.folder.LogSize()))
 	c.metrics.Gauge("control_blocks_quarantined").Update(float64(c.suspects.Quarantined()))
 	c.metrics.Gauge("control_targets_limited").Update(float64(c.limits.Limited()))
+	c.metrics.Gauge("control_permits_issued").Update(float64(c.issuer.Issued()))
+	c.metrics.Gauge("control_permits_refused").Update(float64(c.issuer.Refused()))
 	c.voter.Read(func(m *control.Machine) {
 		c.metrics.Gauge("configuration_version").Update(float64(m.Document().GetVersion()))
 	})
--- a/watch/load_aggregator.go
+++ b/watch/load_aggregator.go
@@ -73,8 +73,8 @@
 func (a *LoadAggregator) exchangeLimits(request *peer.ShareRequest, response *peer.ShareResponse) {
 	var corrections []*peer.TargetLimit
 	for _, l := range request.Limits {
-		if known := a.limits.Merge(l); known != nil {
-			corrections = append(corrections, known)
+		if _, correction := a.limits.Merge(l); correction != nil {
+			corrections = append(corrections, correction)
 		}
 	}
 	seen := request.LimitsSeen
