Confirm a close of a claim that is proposed again

What was seen: TestClaimsAreLinearizable found an illegal history once in some 30 runs. A proposal whose response is lost is proposed again; an open that was applied unseen is granted again, but a close that was applied unseen got REPLAY, as if another outcome had been stored first.

--- a/control/claim.go
+++ b/control/claim.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 
+	"google.golang.org/protobuf/proto"
+
 	"auburnscale/peer"
 )
 
@@ -39,7 +41,8 @@
 }
 
 // closeClaim stores the outcome of a claimed call. Only the owner of the claim
-// may store it, and only once; a repeated closeClaim gets the stored outcome.
+// may store it, and only once. A repeated closeClaim is confirmed, since the response to the
+// first may have been lost; one with another outcome gets the stored one.
 func (m *Machine) closeClaim(c *peer.CloseClaim) *peer.Result {
 	claim := m.claims[claimKey{c.Workspace, c.Key}]
 	if claim == nil {
@@ -48,7 +51,7 @@
 	if claim.Owner != c.Owner {
 		return refused("the claim is owned by another request")
 	}
-	if claim.Outcome != nil {
+	if claim.Outcome != nil && !proto.Equal(claim.Outcome, c.Outcome) {
 		return &peer.Result{Code: peer.Result_REPLAY, Outcome: claim.Outcome}
 	}
 	claim.Outcome = c.Outcome
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -90,6 +90,7 @@
 	replay := f.apply(openClaim("k", "d", "second"))
 	require.Equal(t, peer.Result_REPLAY, replay.Code)
 	require.Equal(t, "yes", string(replay.Outcome.Body))
+	require.Equal(t, peer.Result_OK, f.apply(closeClaim("k", "first", &peer.Outcome{Status: 200, Body: []byte("yes")})).Code, "a retried proposal of the owner")
 	require.Equal(t, peer.Result_REPLAY, f.apply(closeClaim("k", "first", &peer.Outcome{Status: 500})).Code, "an outcome never changes")
 }
 
