--- a/permit/gate.go
+++ b/permit/gate.go
@@ -17,6 +17,11 @@
 	// ownPartDelay is the time without an answer of a leader after which an instance uses its
 	// own part of the limits. A change of the leader takes less.
 	ownPartDelay = 3 * time.Second
+	// maxAsksPerSecond bounds the questions of all instances together, which the leader answers
+	// in a fraction of its processor time. Each instance asks an equal part of them, and
+	// askBurst at once.
+	maxAsksPerSecond = 2000
+	askBurst         = 10
 	// reportInterval is the time between two reports of a limit that responses renew.
 	reportInterval = time.Second
 )
@@ -48,6 +53,9 @@
 	// lostAt is when a leader first did not answer, or 0 if the last question was answered.
 	// askFrom is the time from which one is asked.
 	lostAt, askFrom time.Duration
+	// asks is the number of questions that may be asked at once, as of asksAt.
+	asks   float64
+	asksAt time.Duration
 	// ownPart holds the time from which the own part of a limit allows a request.
 	ownPart map[key]time.Duration
 	// reported holds when each limit was last reported, unreported what to report next.
@@ -57,7 +65,7 @@
 
 // NewGate returns a gate that knows no limits.
 func NewGate(now func() time.Duration, asker Asker) *Gate {
-	return &Gate{now: now, asker: asker, book: NewBook(now), ownPart: map[key]time.Duration{}, reported: map[key]time.Duration{}, unreported: map[key]bool{}}
+	return &Gate{now: now, asker: asker, book: NewBook(now), asks: askBurst, asksAt: now(), ownPart: map[key]time.Duration{}, reported: map[key]time.Duration{}, unreported: map[key]bool{}}
 }
 
 // SetInstances sets the number of instances that send requests. It never decreases, since
@@ -168,6 +176,8 @@
 	// Issued and Exhausted are answers of the leader.
 	Issued    Reason = "issued"
 	Exhausted Reason = "exhausted"
+	// Paced means that this instance has asked as often as it may, to spare the leader.
+	Paced Reason = "paced"
 	// OwnPart means that no leader answers and the own part of the limit decided.
 	OwnPart Reason = "own_part"
 	// NoLeader means that no leader answers and nothing is known to be left of the limit.
@@ -195,6 +205,9 @@
 	if wait := g.askAfter(); wait > 0 {
 		return g.takeOwnPart(k, l.PerSecond, wait)
 	}
+	if wait := g.pace(); wait > 0 {
+		return Decision{wait: wait, reason: Paced}
+	}
 	asking, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	response, err := g.asker.Ask(asking, l)
@@ -216,6 +229,21 @@
 	return max(0, g.askFrom-g.now())
 }
 
+// pace counts a question. If this instance has asked as often as it may, it returns the time until
+// it may ask again instead.
+func (g *Gate) pace() time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now, perSecond := g.now(), maxAsksPerSecond/float64(max(1, g.instances))
+	g.asks = min(askBurst, g.asks+perSecond*max(0, (now-g.asksAt).Seconds()))
+	g.asksAt = now
+	if g.asks < 1 {
+		return max(minWait, time.Duration((1-g.asks)/perSecond*float64(time.Second)))
+	}
+	g.asks--
+	return 0
+}
+
 func (g *Gate) answered() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
