--- a/serve/cluster_test.go
+++ b/serve/cluster_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"auburnscale/event"
 	"auburnscale/inventory"
 	"auburnscale/operator"
 	"auburnscale/settings"
@@ -175,10 +174,11 @@
 }
 
 func (s *testCluster) run(name string) {
+	logger := newTestLogger(s.t, name)
 	var p *Process
 	s.await("the listeners of "+name+" open", func() bool {
 		var err error
-		p, err = New(s.settings[name], event.Nop())
+		p, err = New(s.settings[name], logger)
 		return err == nil
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/serve/fleet_test.go
+++ b/serve/fleet_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"auburnscale/event"
 	"auburnscale/platform/standin"
 	"auburnscale/settings"
 )
@@ -91,10 +90,11 @@
 }
 
 func (f *testFleet) run(name string, s settings.Settings) {
+	logger := newTestLogger(f.t, name)
 	var p Reloader
 	f.await("the listeners of "+name+" open", func() bool {
 		var err error
-		p, err = NewFleetInstance(s, event.Nop())
+		p, err = NewFleetInstance(s, logger)
 		return err == nil
 	})
 	ctx, cancel := context.WithCancel(context.Background())
