--- a/permit/gate.go
+++ b/permit/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -26,14 +25,6 @@
 	reportInterval = time.Second
 )
 
-// A target tolerates, in any toleranceWindow, toleratedRatio times what its limit allows and
-// toleratedExtra requests more.
-const (
-	toleranceWindow = 4 * time.Second
-	toleratedRatio  = 1.5
-	toleratedExtra  = 5
-)
-
 // An Asker asks the control leader for permits.
 type Asker interface {
 	// Ask returns the response of a leader, or an error if none answered.
@@ -105,40 +96,6 @@
 	return changed
 }
 
-// Reports returns the limits of which this instance has news since the last call, or all of
-// them.
-func (g *Gate) Reports(all bool) []*peer.TargetLimit {
-	if all {
-		g.clearReports()
-		list, _ := g.book.Since(0)
-		return list
-	}
-	var list []*peer.TargetLimit
-	for k := range g.clearReports() {
-		if news := g.book.message(k); news != nil {
-			list = append(list, news)
-		}
-	}
-	return list
-}
-
-func (g *Gate) clearReports() map[key]bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	keys := g.unreported
-	if len(keys) > 0 {
-		g.unreported = map[key]bool{}
-	}
-	if now := g.now(); len(g.reported) > maxLimits {
-		for k, at := range g.reported {
-			if now-at > reportInterval {
-				delete(g.reported, k)
-			}
-		}
-	}
-	return keys
-}
-
 // Merge records the limits that other instances know, and returns those that change what is
 // known.
 func (g *Gate) Merge(limits []*peer.TargetLimit) (changed []*peer.TargetLimit) {
@@ -159,41 +116,6 @@
 	return max(minPerSecond, l.GetPerSecond()), l != nil
 }
 
-// A Decision tells whether a request may be sent to a target now.
-type Decision struct {
-	allowed bool
-	wait    time.Duration
-	reason  Reason
-}
-
-// A Reason tells why a request may be sent, or not.
-type Reason string
-
-// The reasons of decisions.
-const (
-	// Unlimited means that the target has no limit.
-	Unlimited Reason = "unlimited"
-	// Issued and Exhausted are answers of the leader.
-	Issued    Reason = "issued"
-	Exhausted Reason = "exhausted"
-	// Paced means that this instance has asked as often as it may, to spare the leader.
-	Paced Reason = "paced"
-	// OwnPart means that no leader answers and the own part of the limit decided.
-	OwnPart Reason = "own_part"
-	// NoLeader means that no leader answers and nothing is known to be left of the limit.
-	NoLeader Reason = "no_leader"
-)
-
-// Allowed reports whether the request may be sent.
-func (d Decision) Allowed() bool { return d.allowed }
-
-// Wait returns the time after which the target may take another request, if the request may not
-// be sent.
-func (d Decision) Wait() time.Duration { return d.wait }
-
-// Reason returns what decided.
-func (d Decision) Reason() Reason { return d.reason }
-
 // Acquire decides whether one request may be sent to the target now. Each request needs a
 // decision of its own, right before it is sent.
 func (g *Gate) Acquire(ctx context.Context, target, incarnation string) Decision {
@@ -265,38 +187,3 @@
 	g.mutex.Unlock()
 	return g.takeOwnPart(k, perSecond, askBackoff)
 }
-
-// takeOwnPart decides without a leader. The own part of the limit is one request in the time in
-// which the limit allows one for each instance, so that all of them together keep to it. Where
-// there are too many instances for that they send none.
-func (g *Gate) takeOwnPart(k key, perSecond float64, wait time.Duration) Decision {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	perSecond = max(minPerSecond, perSecond)
-	now := g.now()
-	if !ownPartsFit(g.instances, perSecond) || now-g.lostAt < ownPartDelay {
-		return Decision{wait: wait, reason: NoLeader}
-	}
-	interval := time.Duration(float64(g.instances) / perSecond * float64(time.Second))
-	from, known := g.ownPart[k]
-	if !known {
-		from = g.lostAt + ownPartDelay + interval
-		g.ownPart[k] = from
-	}
-	if now < from {
-		return Decision{wait: max(wait, from-now), reason: OwnPart}
-	}
-	g.ownPart[k] = now + interval
-	return Decision{allowed: true, reason: OwnPart}
-}
-
-// ownPartsFit reports whether so many instances may each use their own part of the limit: in any
-// toleranceWindow all of them together send no more than a target tolerates, even if each begins at
-// the same moment.
-func ownPartsFit(instances int, perSecond float64) bool {
-	if instances == 0 {
-		return false
-	}
-	n, allowed := float64(instances), perSecond*toleranceWindow.Seconds()
-	return n*(math.Floor(allowed/n)+1) <= toleratedRatio*allowed+toleratedExtra
-}
