Ask for a target again at once when its limit changes

A target with a limit of 0.1 a second is held off for ten seconds; it stayed so when it named a larger limit meanwhile. TestRaisedLimitIsUsedAtOnce gets 503 before the change.

--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -163,3 +163,20 @@
 	response, _ = f.send(http.MethodGet, "/reads/1")
 	require.Equal(t, http.StatusOK, response.status)
 }
+
+// TestRaisedLimitIsUsedAtOnce checks that a target that is held off for long, because its limit is
+// small, is asked for again as soon as another instance reports a larger one.
+func TestRaisedLimitIsUsedAtOnce(t *testing.T) {
+	asker := askerFunc(func(limit *peer.TargetLimit) (*peer.PermitResponse, error) {
+		return &peer.PermitResponse{Current: true, Issued: limit.PerSecond > 1, WaitMs: time.Hour.Milliseconds(), Limit: limit}, nil
+	})
+	f := newFixtureWith(t, 1, fixtureOptions{asker: asker})
+	f.targets[0].SetLimit("0.1")
+	f.send(http.MethodGet, "/reads/1")
+	response, _ := f.send(http.MethodGet, "/reads/1")
+	require.Equal(t, http.StatusServiceUnavailable, response.status)
+	time.Sleep(5 * time.Millisecond)
+	f.fleets.MergeLimits([]*peer.TargetLimit{{Target: "e0", Incarnation: "1", PerSecond: 50}})
+	response, _ = f.send(http.MethodGet, "/reads/1")
+	require.Equal(t, http.StatusOK, response.status)
+}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -30,6 +30,8 @@
 		changed = f.gate.Unnamed(t.Name(), incarnationOf(t), sent)
 	}
 	if changed {
+		// The time for which the target is held off was that of another limit.
+		t.HoldOff(time.Time{})
 		f.logger.Log(event.TargetLimited, zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()), zap.Bool("named", limit.Named), zap.Float64("per_second", limit.PerSecond))
 	}
 }
@@ -59,6 +61,15 @@
 	}
 }
 
+// endHoldOffOf makes the target available whose limit another instance reported.
+func (f *Fleets) endHoldOffOf(l *peer.TargetLimit) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if k := f.targets[l.Target]; k != nil && incarnationOf(k.target) == l.Incarnation {
+		k.target.HoldOff(time.Time{})
+	}
+}
+
 // maxReturnAfter bounds the time after which a caller is told to return.
 const maxReturnAfter = 10 * time.Second
 
@@ -99,6 +110,7 @@
 // MergeLimits records the limits that other instances know.
 func (f *Fleets) MergeLimits(limits []*peer.TargetLimit) {
 	for _, l := range f.gate.Merge(limits) {
+		f.endHoldOffOf(l)
 		f.logger.Log(event.LimitReported, zap.String("target", l.Target), zap.String("incarnation", l.Incarnation), zap.Bool("named", !l.Ended), zap.Float64("per_second", l.PerSecond), zap.Int64("age_ms", l.AgeMs))
 	}
 }
--- a/target/limits.go
+++ b/target/limits.go
@@ -38,6 +38,7 @@
 		changed = r.gate.Unnamed(name, incarnation, clock.Now()-took)
 	}
 	if changed {
+		r.endHoldOff(name)
 		r.logger.Log(event.TargetLimited, zap.String("target", name), zap.String("incarnation", incarnation), zap.Bool("named", text != nil), zap.Float64("per_second", perSecond))
 	}
 }
@@ -55,6 +56,16 @@
 	return "", ""
 }
 
+// endHoldOff makes the target available: the time for which it is held off was that of another
+// limit.
+func (r *Registry) endHoldOff(name string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if p := r.probes[name]; p != nil {
+		p.target.HoldOff(time.Time{})
+	}
+}
+
 // Permit reports whether one request may be sent to the target now. If its rate limit is used
 // up, it is not chosen for a while. Each request needs a permit, right before it is sent.
 func (r *Registry) Permit(ctx context.Context, t *route.Target) bool {
