--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -114,8 +114,8 @@
 }
 
 // recordResponse records that the target responded, and what it states of itself: its
-// load, that it is leaving, that it asks for a pause or names a rate limit. sent is when the request was sent, on
-// clock.Now. It returns the decoded status and header.
+// load, that it is leaving, that it asks for a pause or names a rate limit. sent is when the
+// request was sent, on clock.Now. It returns the decoded status and header.
 func (c *call) recordResponse(t *route.Target, response *exchange.Response, sent time.Duration) ResponseInfo {
 	info := c.server.deps.Codec.DecodeResponse(response.Status(), response.Header())
 	c.server.deps.Fleets.Responded(t)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -232,7 +232,7 @@
 	if wait == 0 {
 		return nil
 	}
-	if c.heldOff == 0 && fleets.LimitedTargets() == 0 {
+	if fleets.limitOf(c.service.Name) == 0 {
 		return refuse(http.StatusServiceUnavailable, "targets_paused", "every target of the service asked for a pause").withRetryAfter(wait)
 	}
 	return refuse(http.StatusServiceUnavailable, "targets_limited", "every target of the service asked for a pause or has used up its rate limit").withRetryAfter(fleets.ReturnAfter(c.service.Name, wait, now))
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -78,12 +78,7 @@
 // until the first of them takes a request. Callers that are refused one after the other are told
 // to return one after the other, as fast as this instance's part of the limits allows.
 func (f *Fleets) ReturnAfter(service string, wait time.Duration, now time.Time) time.Duration {
-	perSecond := 0.0
-	for _, t := range f.Fleet(service).Targets() {
-		if limit, limited := f.gate.PerSecond(t.Name(), incarnationOf(t)); limited && t.Decodes() {
-			perSecond += limit
-		}
-	}
+	perSecond := f.limitOf(service)
 	if perSecond == 0 {
 		return wait
 	}
@@ -100,8 +95,16 @@
 	return at.Sub(now)
 }
 
-// LimitedTargets returns the number of targets that have a rate limit.
-func (f *Fleets) LimitedTargets() int { return f.gate.Limited() }
+// limitOf returns the sum of the rate limits of the service's decode targets, or 0 if none of them
+// has one.
+func (f *Fleets) limitOf(service string) (perSecond float64) {
+	for _, t := range f.Fleet(service).Targets() {
+		if limit, limited := f.gate.PerSecond(t.Name(), incarnationOf(t)); limited && t.Decodes() {
+			perSecond += limit
+		}
+	}
+	return perSecond
+}
 
 // LimitReports returns the limits of targets of which this instance has news since the last
 // call, or all that it knows.
