Tell connections that the soak reset from those that instances reset

The soak itself resets a caller's connection when it cannot connect to the instance, and said nothing; a report with findings names these now.

--- a/soak/network.go
+++ b/soak/network.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,10 @@
 	open    map[*forwardedConn]bool
 	closing bool
 
+	// failedDials describes the connections that could not be passed on for another reason
+	// than that nobody listened.
+	failedDials []string
+
 	listeners []net.Listener
 	group     sync.WaitGroup
 }
@@ -188,6 +193,7 @@
 	}
 	outbound, err := tcp.Dialer(d.destination.Addr()).Dial("tcp", d.destination.String())
 	if err != nil {
+		n.noteFailedDial(c.from, err)
 		c.reset()
 		return
 	}
@@ -202,6 +208,24 @@
 	both.Wait()
 }
 
+// noteFailedDial records a connection that the caller sees reset although its destination has not
+// ended it.
+func (n *network) noteFailedDial(from int, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.failedDials = append(n.failedDials, fmt.Sprintf("%s connection of host %d reset by the soak: %v", time.Now().Format("05.000"), from, err))
+}
+
+// notes returns the connections that could not be passed on.
+func (n *network) notes() []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return slices.Clone(n.failedDials)
+}
+
 func (c *forwardedConn) close() {
 	c.network.mutex.Lock()
 	defer c.network.mutex.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,6 +80,8 @@
 	// Changes is the number of acknowledged configuration changes.
 	Changes int
 	Folder  string
+	// Notes tells what the soak itself did to connections beside its faults.
+	Notes []string
 }
 
 // String returns a summary line, one line per finding, and the folder with the logs
@@ -91,6 +93,9 @@
 		fmt.Fprintf(&b, "\n  %s", f)
 	}
 	if len(r.Findings) > 0 {
+		for _, note := range r.Notes {
+			fmt.Fprintf(&b, "\n  note: %s", note)
+		}
 		fmt.Fprintf(&b, "\n  logs: %s", r.Folder)
 	}
 	return b.String()
@@ -124,6 +129,7 @@
 	h := e.collect()
 	report.Findings = append(e.findings, h.Check(c.bounds())...)
 	report.Requests, report.Changes = len(h.Attempts), len(h.Acks)
+	report.Notes = e.network.notes()
 	for _, a := range h.Attempts {
 		if a.Response.Status == 200 && a.Response.Complete && a.Defect == "" {
 			report.Served++
