--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -32,8 +32,7 @@
 	services map[string]*serviceState
 	// heldBlocks holds the prompt blocks to be reported to the other instances.
 	heldBlocks []*peer.HeldBlock
-	// returns holds, by service, when the last caller was told to return that was refused
-	// because the rate limits of all targets are used up.
+	// returns holds, by service, the latest time announced by ReturnAfter.
 	returns map[string]time.Time
 	fleets  atomic.Pointer[map[string]*route.Fleet]
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -70,13 +70,12 @@
 	}
 }
 
-// maxReturnAfter bounds the time after which a caller is told to return.
+// maxReturnAfter bounds the Retry-After of a service whose rate limits are used up.
 const maxReturnAfter = 10 * time.Second
 
-// ReturnAfter returns the time after which a caller of the service is told to return that was
-// refused because all targets have used up their limits or asked for a pause. wait is the time
-// until the first of them takes a request. Callers that are refused one after the other are told
-// to return one after the other, as fast as this instance's part of the limits allows.
+// ReturnAfter returns the Retry-After for a caller that is refused because all targets of the
+// service have used up their limits or asked for a pause. wait is the time until the first of
+// them accepts a request. Successive refusals are spaced by this instance's share of the limits.
 func (f *Fleets) ReturnAfter(service string, wait time.Duration, now time.Time) time.Duration {
 	perSecond := f.limitOf(service)
 	if perSecond == 0 {
@@ -106,8 +105,8 @@
 	return perSecond
 }
 
-// LimitReports returns the limits of targets of which this instance has news since the last
-// call, or all that it knows.
+// LimitReports returns the limits that this instance has observed since the last call, or all
+// known limits.
 func (f *Fleets) LimitReports(all bool) []*peer.TargetLimit { return f.gate.Reports(all) }
 
 // MergeLimits records the limits that other instances know.
--- a/permit/book.go
+++ b/permit/book.go
@@ -14,13 +14,13 @@
 	// limitTTL is how long a limit is remembered that no response renews: the target gets no
 	// requests, or has ended.
 	limitTTL = 10 * time.Minute
-	// endedTTL is how long it is remembered that a limit has ended, so that older news of it
-	// does not bring it back.
+	// endedTTL is how long it is remembered that a limit has ended, so that an older
+	// observation does not restore it.
 	endedTTL = time.Minute
 )
 
-// A Book holds what is known of the rate limits of targets. Of two pieces of news the younger
-// one holds. It is safe for concurrent use.
+// A Book holds what is known of the rate limits of targets. The most recent
+// observation wins. It is safe for concurrent use.
 type Book struct {
 	now func() time.Duration
 
@@ -43,9 +43,9 @@
 // NewBook returns an empty book on the clock.
 func NewBook(now func() time.Duration) *Book { return &Book{now: now, limits: map[key]*limit{}} }
 
-// Merge records a limit that another instance knows, and reports whether that changes what is
-// known. It returns what is known instead if that is younger and differs, and else nil. Limits
-// that make no sense are ignored.
+// Merge records a limit observed by another instance and reports whether it changes the known
+// limit. If the known limit is more recent and differs, Merge returns it. Invalid limits are
+// ignored.
 func (b *Book) Merge(news *peer.TargetLimit) (changed bool, correction *peer.TargetLimit) {
 	if news == nil || news.Target == "" || math.IsNaN(news.PerSecond) || math.IsInf(news.PerSecond, 0) || news.PerSecond < 0 {
 		return false, nil
@@ -61,7 +61,7 @@
 	return changed, correction
 }
 
-// record records news of the given time and reports whether it changes what is known.
+// record records an observation and reports whether it changes the known limit.
 // b.mutex must be held.
 func (b *Book) record(k key, perSecond float64, ended bool, at time.Duration) bool {
 	if ended {
--- a/permit/client.go
+++ b/permit/client.go
@@ -16,7 +16,7 @@
 	Peer(address string) peer.Peer
 }
 
-// errNoLeader means that the control instances that were asked know no leader.
+// errNoLeader means that no reachable control instance knows a leader.
 var errNoLeader = errors.New("no control leader is known")
 
 // A Client asks the control leader for permits. It is safe for concurrent use.
@@ -26,7 +26,7 @@
 	dialer      Dialer
 
 	mutex sync.Mutex
-	// leader is the peer address that is asked first, or empty.
+	// leader is the peer address of the last known leader, or empty.
 	leader string
 }
 
@@ -77,7 +77,7 @@
 		case err == nil:
 			c.setLeader(leader)
 		case errors.Is(ctx.Err(), context.DeadlineExceeded):
-			// Another one may answer the next question in time.
+			// The next request goes to another instance.
 			c.setLeader(c.other(asked))
 			return err
 		case ctx.Err() != nil:
--- a/permit/decision.go
+++ b/permit/decision.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// A Decision tells whether a request may be sent to a target now.
+// A Decision represents the decision whether a request may be sent to a target now.
 type Decision struct {
 	allowed bool
 	wait    time.Duration
 	reason  Reason
 }
 
-// A Reason tells why a request may be sent, or not.
+// A Reason is the reason for a decision.
 type Reason string
 
 // The reasons of decisions.
@@ -19,7 +19,7 @@
 	// Issued and Exhausted are answers of the leader.
 	Issued    Reason = "issued"
 	Exhausted Reason = "exhausted"
-	// Paced means that this instance has asked as often as it may, to spare the leader.
+	// Paced means that this instance has reached its rate of requests for permits.
 	Paced Reason = "paced"
 	// OwnPart means that no leader answers and the own part of the limit decided.
 	OwnPart Reason = "own_part"
--- a/permit/gate.go
+++ b/permit/gate.go
@@ -11,14 +11,13 @@
 const (
 	// askTimeout bounds the wait for a permit. The leader answers within a round trip.
 	askTimeout = 200 * time.Millisecond
-	// askBackoff is how long nothing is asked after no leader has answered.
+	// askBackoff is the time without requests for permits after no leader has responded.
 	askBackoff = 300 * time.Millisecond
 	// ownPartDelay is the time without an answer of a leader after which an instance uses its
 	// own part of the limits. A change of the leader takes less.
 	ownPartDelay = 3 * time.Second
-	// maxAsksPerSecond bounds the questions of all instances together, which the leader answers
-	// in a fraction of its processor time. Each instance asks an equal part of them, and
-	// askBurst at once.
+	// maxAsksPerSecond bounds the requests for permits of all instances together, and thereby the
+	// processor time of the leader. Each instance may send an equal share, and askBurst at once.
 	maxAsksPerSecond = 2000
 	askBurst         = 10
 	// reportInterval is the time between two reports of a limit that responses renew.
@@ -41,15 +40,15 @@
 	mutex sync.Mutex
 	// instances is the number of instances that send requests, or 0 if it is not known.
 	instances int
-	// lostAt is when a leader first did not answer, or 0 if the last question was answered.
-	// askFrom is the time from which one is asked.
+	// lostAt is the time of the first failed request since the last response of a leader, or 0.
+	// askFrom is the earliest time of the next request for a permit.
 	lostAt, askFrom time.Duration
-	// asks is the number of questions that may be asked at once, as of asksAt.
+	// asks is the number of tokens for requests for permits, as of asksAt.
 	asks   float64
 	asksAt time.Duration
 	// ownPart holds the time from which the own part of a limit allows a request.
 	ownPart map[key]time.Duration
-	// reported holds when each limit was last reported, unreported what to report next.
+	// reported holds the time of the last report of each limit, unreported those to report.
 	reported   map[key]time.Duration
 	unreported map[key]bool
 }
@@ -68,7 +67,7 @@
 }
 
 // Named records that a response of the target named the limit, in requests a second. It reports
-// whether that is news.
+// whether this changes the known limit.
 func (g *Gate) Named(target, incarnation string, perSecond float64) bool {
 	return g.observe(key{target, incarnation}, perSecond, false, g.now())
 }
@@ -144,15 +143,15 @@
 	return Decision{wait: max(minWait, time.Duration(response.WaitMs)*time.Millisecond), reason: Exhausted}
 }
 
-// askAfter returns how much longer no leader is asked.
+// askAfter returns the remaining backoff of requests for permits.
 func (g *Gate) askAfter() time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return max(0, g.askFrom-g.now())
 }
 
-// pace counts a question. If this instance has asked as often as it may, it returns the time until
-// it may ask again instead.
+// pace takes a token for a request for a permit. If there is none, it returns the time until the
+// next one.
 func (g *Gate) pace() time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/permit/issuer.go
+++ b/permit/issuer.go
@@ -9,7 +9,7 @@
 	"auburnscale/peer"
 )
 
-// A Leadership tells whether this control instance leads.
+// A Leadership reports whether this control instance leads.
 type Leadership interface {
 	// Leading returns the term, and whether this instance is its leader and holds its lease.
 	Leading() (term uint64, ok bool)
@@ -44,7 +44,7 @@
 	at     time.Duration
 }
 
-// bucketTTL is how long the bucket of a target is kept that no instance asks for.
+// bucketTTL is how long the bucket of a target is kept without requests for permits.
 const bucketTTL = time.Minute
 
 // NewIssuer returns an issuer that knows the limits of the book.
@@ -103,7 +103,7 @@
 	return max(minWait, time.Duration(math.Ceil((1-b.tokens)/perSecond*float64(time.Second))))
 }
 
-// removeIdle removes the buckets of targets that no instance asks for. i.mutex must be held.
+// removeIdle removes buckets that have not been used within bucketTTL. i.mutex must be held.
 func (i *Issuer) removeIdle(now time.Duration) {
 	for k, b := range i.buckets {
 		if now-b.at > bucketTTL {
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -2,12 +2,12 @@
 // from all instances together.
 //
 // The control leader issues a permit for each request to such a target, from one token bucket
-// for each start of a target ([Issuer]). An instance asks for one right before it sends the
-// request ([Gate]); without one it holds off for the time that the leader names. Knowledge of
-// limits is kept by a [Book] with the age of the news, which instances exchange.
+// for each start of a target ([Issuer]). An instance requests one right before it sends the
+// request ([Gate]); if none is issued, it sends nothing to the target for the time in the response.
+// A [Book] keeps the observed limits with their ages, which instances exchange.
 //
-// The package owns the news on limits and the decision whether a request may be sent. It
-// chooses no targets and sends nothing but the question for a permit.
+// The package owns the observed limits and the decision whether a request may be sent. It
+// does not choose targets or send their requests.
 //
 // # Usage
 //
@@ -29,7 +29,7 @@
 	// while: burstRequests and what the limit allows in burstTime.
 	burstRequests = 2
 	burstTime     = 500 * time.Millisecond
-	// minWait bounds the time after which an instance asks again.
+	// minWait bounds the time after which an instance requests another permit.
 	minWait = 20 * time.Millisecond
 )
 
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -22,8 +22,8 @@
 
 func newClock() *testClock { return &testClock{at: time.Hour} }
 
-// TestYoungerNewsHolds checks that of two pieces of news on a limit the younger one holds, in
-// whatever order they arrive, and that the older one is corrected.
+// TestYoungerNewsHolds checks that the most recent observation of a limit wins in any order of
+// arrival, and that an older one is corrected.
 func TestYoungerNewsHolds(t *testing.T) {
 	c := newClock()
 	b := NewBook(c.now)
--- a/permit/report.go
+++ b/permit/report.go
@@ -2,8 +2,8 @@
 
 import "auburnscale/peer"
 
-// Reports returns the limits of which this instance has news since the last call, or all of
-// them.
+// Reports returns the limits that this instance has observed since the last call, or all known
+// limits.
 func (g *Gate) Reports(all bool) []*peer.TargetLimit {
 	if all {
 		g.clearReports()
--- a/permit/tokens.go
+++ b/permit/tokens.go
@@ -28,8 +28,8 @@
 	return &Tokens{leadership: l, now: now, buckets: map[string]*bucket{}}
 }
 
-// Take answers a request for tokens. An amount above the burst needs a full bucket. What it takes
-// beyond the content is owed, so that the rate holds whatever the amounts are.
+// Take answers a request for tokens. An amount above the burst needs a full bucket. The bucket
+// may become negative, so that the rate holds for amounts of any size.
 func (t *Tokens) Take(request *peer.TokenRequest) *peer.TokenResponse {
 	term, leading := t.leadership.Leading()
 	if !leading || !(request.PerSecond > 0) || !(request.Burst > 0) || !(request.Amount >= 0) {
--- a/route/target.go
+++ b/route/target.go
@@ -124,7 +124,7 @@
 
 func (t *Target) FailureDomain() string { return t.domain }
 
-// Incarnation returns the number that tells this start of the target from others.
+// Incarnation returns the number that identifies this start of the target.
 func (t *Target) Incarnation() int64 { return t.incarnation }
 
 // Slots returns the number of requests that the target runs at once.
--- a/serve/leadership.go
+++ b/serve/leadership.go
@@ -5,7 +5,7 @@
 	"auburnscale/voter"
 )
 
-// A leadership tells the issuer of permits whether its voter leads.
+// A leadership reports to the issuer of permits whether its voter leads.
 type leadership struct {
 	voter *voter.Voter
 	// addresses holds the peer addresses of the voters by id if the settings give them.
--- a/soak/network.go
+++ b/soak/network.go
@@ -30,8 +30,7 @@
 	open    map[*forwardedConn]bool
 	closing bool
 
-	// failedDials describes the connections that could not be passed on for another reason
-	// than that nobody listened.
+	// failedDials describes the connections that could not be forwarded, except refused ones.
 	failedDials []string
 
 	listeners []net.Listener
@@ -208,8 +207,8 @@
 	both.Wait()
 }
 
-// noteFailedDial records a connection that the caller sees reset although its destination has not
-// ended it.
+// noteFailedDial records a connection that the soak resets because its destination cannot be
+// reached.
 func (n *network) noteFailedDial(from int, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return
@@ -219,7 +218,7 @@
 	n.failedDials = append(n.failedDials, fmt.Sprintf("%s connection of host %d reset by the soak: %v", time.Now().Format("05.000"), from, err))
 }
 
-// notes returns the connections that could not be passed on.
+// notes returns the descriptions of the connections that could not be forwarded.
 func (n *network) notes() []string {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/soak/retry_budget.go
+++ b/soak/retry_budget.go
@@ -31,7 +31,7 @@
 	return times
 }
 
-// repeatTimes returns when requests arrived at targets of the service once more, in order. The
+// repeatTimes returns the times at which repeated requests arrived at the service, in order. The
 // first arrival to read the prompt is not counted, nor the first to run the request.
 func (h *History) repeatTimes(service string) (times []time.Time) {
 	type kind struct {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,7 +80,7 @@
 	// Changes is the number of acknowledged configuration changes.
 	Changes int
 	Folder  string
-	// Notes tells what the soak itself did to connections beside its faults.
+	// Notes lists the connections that the soak reset without an injected fault.
 	Notes []string
 }
 
--- a/watch/limits_test.go
+++ b/watch/limits_test.go
@@ -25,9 +25,9 @@
 	return NewLoadExchanger(name, domain, controls, dialer, limitSource{fleetLoad{entries}, gate}), gate
 }
 
-// TestLimitsReachAllInstances checks that a limit that one entry instance was told of reaches
-// those of all failure domains of a large fleet with its value, as do a change of it, its end, and
-// all of it again after a control instance restarted.
+// TestLimitsReachAllInstances checks that a limit that one entry instance observes is distributed to
+// all failure domains of a large fleet, as are its changes and its end, and that a restarted
+// control instance receives the known limits.
 func TestLimitsReachAllInstances(t *testing.T) {
 	const entries = 300
 	dialer, controls := sharingDialer{}, domainControls{"a": "d1", "b": "d2", "c": "d3"}
--- a/watch/load_exchanger.go
+++ b/watch/load_exchanger.go
@@ -44,8 +44,8 @@
 	TakeHeldBlocks() []*peer.HeldBlock
 	// AddHeldBlocks takes the blocks that other instances saw targets hold.
 	AddHeldBlocks([]*peer.HeldBlock)
-	// LimitReports returns the rate limits of targets of which this instance has news since
-	// the last call, or all that it knows.
+	// LimitReports returns the rate limits that this instance has observed since the last call,
+	// or all known limits.
 	LimitReports(all bool) []*peer.TargetLimit
 	// MergeLimits takes the limits that other instances know.
 	MergeLimits([]*peer.TargetLimit)
@@ -140,7 +140,7 @@
 }
 
 // exchange sends the load of this instance and takes the load of the others, or
-// nil if no control instance responded. It exchanges new held blocks and news of rate limits as
+// nil if no control instance responded. It exchanges new held blocks and observed rate limits as
 // well.
 func (e *LoadExchanger) exchange() {
 	e.unsent = append(e.unsent, e.source.TakeHeldBlocks()...)
--- a/watch/server.go
+++ b/watch/server.go
@@ -60,7 +60,7 @@
 	// suspicionTTL is how long a suspicion is distributed after its latest report.
 	suspicionTTL = 60 * time.Second
 	// urgentCrashes is the number of crashes under a request from which all instances are
-	// told at once. Most requests under which one target crashed have not caused it, and
+	// notified immediately. Most requests under which one target crashed have not caused it, and
 	// there are many of them when targets crash.
 	urgentCrashes = 2
 	// maxSuspicions is the maximum number of request fingerprints with suspicions.
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -145,7 +145,7 @@
 }
 
 // TestSuspectBlocksWakeAllInstances checks that a poll that is held returns with a block as soon
-// as that is quarantined, and that control instances are not told.
+// as that is quarantined, and that control instances are not notified.
 func TestSuspectBlocksWakeAllInstances(t *testing.T) {
 	s, _, _ := newServer(t)
 	first := s.Watch(t.Context(), newRequest("e1"))
