Log the software versions of targets and the streams that go on

Rows of targets carry the version of a start. A start that names several versions, or none that can be understood, has no version.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -138,7 +138,7 @@
 // send sends the request to the target that is to run it. Its results are those of
 // attempt. It calls onStart when the first bytes of a stream arrive.
 func (c *call) send(t *route.Target, d Dispatch, onStart func()) (bool, *failure) {
-	c.target = t.Name()
+	c.setTarget(t)
 	if c.sends > 0 && !c.spendRetry() {
 		return false, c.noTarget()
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -70,6 +70,7 @@
 	// hexadecimal.
 	blockedBy      string
 	target         string
+	targetVersion  string
 	estimatedFirst time.Duration
 	// prefillTarget is the target that was last asked to prefill the prompt ahead
 	// of the decode target, prefillTime the time that all such prefills took.
@@ -119,6 +120,9 @@
 	defer s.deps.Blocks.End(c.admission)
 	// A trial reaches a single target.
 	c.localPrefill = c.admission.Trial()
+	if c.info.LastEventID != "" {
+		s.logTakenUp(c)
+	}
 	if f := c.run(); f != nil {
 		c.respondWithFailure(f)
 		return
@@ -288,6 +292,9 @@
 	return c.route.RetrySafe() && !c.admission.Trial() && c.runs < c.route.MaxAttempts && c.sends < maxSends
 }
 
+// setTarget records the target that the request was last sent to, for the log.
+func (c *call) setTarget(t *route.Target) { c.target, c.targetVersion = t.Name(), t.Version() }
+
 // spendRetry reports whether the request may be sent once more within maxSends and
 // the service's retry budget, and spends from the budget if so.
 func (c *call) spendRetry() bool {
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -42,6 +42,8 @@
 	// LastEventID is the id of the last event that the caller received of an
 	// interrupted stream.
 	LastEventID string
+	// Resumes is the id of the request that brought the first event of that stream.
+	Resumes string
 }
 
 // A PromptBlock is a block of a prompt that other requests may share.
--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -152,11 +152,11 @@
 }
 
 // updateTarget returns the known target of the row. It replaces a target that has
-// restarted, moved to another address or changed its stage. f.mutex must be held.
+// restarted, moved to another address, changed its stage or named its version later. f.mutex must be held.
 func (f *Fleets) updateTarget(row *peer.TargetRow, state *serviceState, now time.Time) *knownTarget {
 	k := f.targets[row.Id]
 	same := k != nil && k.row.BornMs == row.BornMs && k.row.Address == row.Address
-	if same && k.row.Stage == row.Stage {
+	if same && k.row.Stage == row.Stage && k.row.SoftwareVersion == row.SoftwareVersion {
 		k.row = row
 		return k
 	}
@@ -177,7 +177,7 @@
 }
 
 func newTarget(row *peer.TargetRow, now time.Time) *route.Target {
-	spec := route.Spec{Name: row.Id, Address: row.Address, FailureDomain: row.Domain, Slots: int(row.Slots), Reclaimable: row.Reclaimable, Incarnation: row.BornMs}
+	spec := route.Spec{Name: row.Id, Address: row.Address, FailureDomain: row.Domain, Slots: int(row.Slots), Reclaimable: row.Reclaimable, Incarnation: row.BornMs, Version: row.SoftwareVersion}
 	if row.Stage == peer.TargetRow_PREFILL {
 		spec.Stage = route.PrefillOnly
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -66,7 +66,7 @@
 func (s *Server) logServed(c *call) {
 	s.countOutcome("served")
 	s.deps.Metrics.Timer("first_event").Record(c.firstEventAfter)
-	s.deps.Logger.Log(event.RequestServed, c.fields(append(c.promptFields(), zap.String("target", c.target), zap.String("status", c.status), zap.String("reader", c.prefillTarget),
+	s.deps.Logger.Log(event.RequestServed, c.fields(append(c.promptFields(), zap.String("target", c.target), zap.String("target_version", c.targetVersion), zap.String("status", c.status), zap.String("reader", c.prefillTarget),
 		zap.Int64("read_ms", c.prefillTime.Milliseconds()), zap.Int64("unread_tokens", c.prefillTokens),
 		zap.Int64("first_ms", c.firstEventAfter.Milliseconds()), zap.Int64("estimate_ms", c.estimatedFirst.Milliseconds()),
 		zap.Int("sends", c.sends), zap.Int("runs", c.runs))...)...)
@@ -104,6 +104,38 @@
 		zap.Int("running", info.Load.Running), zap.Int("waiting", info.Load.Waiting))...)
 }
 
-func (s *Server) logResumed(c *call, t *route.Target, after string) {
-	s.deps.Logger.Log(event.StreamResumed, c.fields(zap.String("target", t.Name()), zap.String("after", after))...)
+// countContinued counts a stream that goes on at a target, within a response or in another one.
+func (s *Server) countContinued(within bool, version string) {
+	s.deps.Metrics.Tagged(map[string]string{"within_response": strconv.FormatBool(within), "version": version}).Counter("streams_continued").Inc(1)
+}
+
+// The versions at which streams go on, compared with those that began them.
+const (
+	versionSame    = "same"
+	versionOther   = "other"
+	versionUnknown = "unknown"
+)
+
+// compareVersions compares the software versions of two targets.
+func compareVersions(before, t *route.Target) string {
+	switch {
+	case before.Version() == "" || t.Version() == "":
+		return versionUnknown
+	case before.Version() != t.Version():
+		return versionOther
+	}
+	return versionSame
+}
+
+// logResumed logs that the stream continues from another target than the one before.
+func (s *Server) logResumed(c *call, before, t *route.Target, after string) {
+	s.countContinued(true, compareVersions(before, t))
+	s.deps.Logger.Log(event.StreamResumed, c.fields(zap.String("target", t.Name()), zap.String("target_version", t.Version()),
+		zap.String("before", before.Name()), zap.String("before_version", before.Version()), zap.String("after", after))...)
+}
+
+// logTakenUp logs that the request takes up a stream that another request began.
+func (s *Server) logTakenUp(c *call) {
+	s.countContinued(false, versionUnknown)
+	s.deps.Logger.Log(event.StreamTakenUp, c.fields(zap.String("resumes", c.info.Resumes), zap.String("after", c.info.LastEventID))...)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -101,7 +101,7 @@
 		if f != nil {
 			r.abort(t, err)
 		}
-		next, nextResponse := r.resume()
+		next, nextResponse := r.resume(t)
 		if nextResponse == nil {
 			r.abort(t, err)
 		}
@@ -216,9 +216,9 @@
 	r.lastID = string(bytes.TrimSpace(line))
 }
 
-// resume continues the stream at another target, after the last event that the
+// resume continues the stream at another target than before, after the last event that the
 // caller received. It returns nil if no target takes the stream.
-func (r *relay) resume() (*route.Target, *exchange.Response) {
+func (r *relay) resume(before *route.Target) (*route.Target, *exchange.Response) {
 	c := r.call
 	r.pending = r.pending[:0]
 	for c.mayRetry() && c.ctx.Err() == nil {
@@ -250,8 +250,8 @@
 			continue
 		}
 		c.runs++
-		c.target = t.Name()
-		c.server.logResumed(c, t, r.lastID)
+		c.setTarget(t)
+		c.server.logResumed(c, before, t, r.lastID)
 		return t, response
 	}
 	return nil, nil
--- a/roster/merge.go
+++ b/roster/merge.go
@@ -50,6 +50,7 @@
 		r.deregisterWithoutStart(known, row, lastContact)
 		return
 	}
+	row = r.joinVersions(known, row)
 	if known.row.State == peer.TargetRow_GONE && known.row.BornMs == 0 && lastContact <= known.lastContact {
 		r.update(known, func(o *peer.TargetRow) { o.BornMs, o.Address = row.BornMs, row.Address })
 		return
@@ -75,6 +76,36 @@
 	r.update(known, func(o *peer.TargetRow) { o.State, o.Silent = peer.TargetRow_GONE, false })
 }
 
+// joinVersions gives both rows, if they are of the same start, the software version that they name
+// together. A start runs one version: if they name two, neither can be relied on.
+func (r *Roster) joinVersions(known *entry, row *peer.TargetRow) *peer.TargetRow {
+	if !sameIncarnation(known.row, row) {
+		return row
+	}
+	version, disputed := joinedVersion(known.row, row)
+	if known.row.SoftwareVersion != version || known.row.VersionDisputed != disputed {
+		r.update(known, func(o *peer.TargetRow) { o.SoftwareVersion, o.VersionDisputed = version, disputed })
+	}
+	if row.SoftwareVersion == version && row.VersionDisputed == disputed {
+		return row
+	}
+	joined := proto.Clone(row).(*peer.TargetRow)
+	joined.SoftwareVersion, joined.VersionDisputed = version, disputed
+	return joined
+}
+
+func joinedVersion(a, b *peer.TargetRow) (version string, disputed bool) {
+	switch {
+	case a.VersionDisputed || b.VersionDisputed:
+		return "", true
+	case a.SoftwareVersion == "" || a.SoftwareVersion == b.SoftwareVersion:
+		return b.SoftwareVersion, false
+	case b.SoftwareVersion == "":
+		return a.SoftwareVersion, false
+	}
+	return "", true
+}
+
 // refresh takes the later of two rows of the same incarnation and state. The
 // revision changes only if something else in the row differs.
 func (r *Roster) refresh(known *entry, row *peer.TargetRow, lastContact time.Duration) {
@@ -98,7 +129,7 @@
 // sequence number and ages.
 func contentDiffers(a, b *peer.TargetRow) bool {
 	return a.Service != b.Service || a.Address != b.Address || a.Domain != b.Domain || a.Slots != b.Slots ||
-		a.Stage != b.Stage || a.Reclaimable != b.Reclaimable || a.Silent != b.Silent || (a.ColdMs > 0) != (b.ColdMs > 0)
+		a.Stage != b.Stage || a.Reclaimable != b.Reclaimable || a.SoftwareVersion != b.SoftwareVersion || a.VersionDisputed != b.VersionDisputed || a.Silent != b.Silent || (a.ColdMs > 0) != (b.ColdMs > 0)
 }
 
 // insert replaces the row of the id, or adds it if there is room.
--- a/route/target.go
+++ b/route/target.go
@@ -36,6 +36,7 @@
 	hash        uint64
 	warmedUpAt  time.Time
 	incarnation int64
+	version     string
 
 	silent atomic.Bool
 	// leaving is true once the target has stated that it is about to end.
@@ -99,6 +100,9 @@
 	WarmedUpAt time.Time
 	// Incarnation tells the starts of a target apart; a later start has a higher one.
 	Incarnation int64
+	// Version is the version of the software that this start of the target runs; empty if
+	// it is not known.
+	Version string
 }
 
 // A Stage tells which stages of a request a target runs.
@@ -115,7 +119,7 @@
 // NewTarget returns a target that has not reported its load.
 func NewTarget(s Spec) *Target {
 	return &Target{name: s.Name, address: s.Address, domain: s.FailureDomain, slots: s.Slots, reclaimable: s.Reclaimable, cost: s.TokenCost,
-		stage: s.Stage, warmedUpAt: s.WarmedUpAt, incarnation: s.Incarnation, hash: hashName(s.Name)}
+		stage: s.Stage, warmedUpAt: s.WarmedUpAt, incarnation: s.Incarnation, version: s.Version, hash: hashName(s.Name)}
 }
 
 func (t *Target) Name() string { return t.name }
@@ -127,6 +131,10 @@
 // Incarnation returns the number that identifies this start of the target.
 func (t *Target) Incarnation() int64 { return t.incarnation }
 
+// Version returns the version of the software that this start of the target runs; empty if it is
+// not known.
+func (t *Target) Version() string { return t.version }
+
 // Slots returns the number of requests that the target runs at once.
 func (t *Target) Slots() int { return t.slots }
 
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -29,9 +29,11 @@
 	}
 	before := c.roster.Snapshot().Target(row.Id)
 	merged := c.roster.UpdateTarget(row)
-	if after := c.roster.Snapshot().Target(row.Id); after.GetState() != before.GetState() || after.GetBornMs() != before.GetBornMs() || after.GetStage() != before.GetStage() {
+	if after := c.roster.Snapshot().Target(row.Id); after.GetState() != before.GetState() || after.GetBornMs() != before.GetBornMs() || after.GetStage() != before.GetStage() ||
+		after.GetSoftwareVersion() != before.GetSoftwareVersion() || after.GetVersionDisputed() != before.GetVersionDisputed() {
 		c.logger.Log(event.TargetUpdated, zap.String("target", row.Id), zap.String("service", after.GetService()), zap.String("address", after.GetAddress()),
-			zap.Stringer("state", after.GetState()), zap.Stringer("stage", after.GetStage()), zap.Int64("born_ms", after.GetBornMs()), zap.Int64("ended_ms", after.GetEndedMs()), zap.Uint64("seq", row.Seq))
+			zap.Stringer("state", after.GetState()), zap.Stringer("stage", after.GetStage()), zap.Int64("born_ms", after.GetBornMs()), zap.Int64("ended_ms", after.GetEndedMs()), zap.Uint64("seq", row.Seq),
+			zap.String("software_version", after.GetSoftwareVersion()), zap.Bool("version_disputed", after.GetVersionDisputed()))
 	}
 	return merged
 }
