--- a/serve/crashing_block_test.go
+++ b/serve/crashing_block_test.go
@@ -82,7 +82,7 @@
 		e.mutex.Lock()
 		t := e.starts[len(e.starts)-1]
 		heartbeat := standin.Heartbeat{
-			ID: t.ID(), Service: "desk", Address: t.Address(), Domain: fmt.Sprint("d", e.host%3), Stage: e.stage, Slots: 8, StartTime: e.born.UnixMilli(), Seq: seq,
+			ID: t.ID(), Service: "desk", Address: t.Address(), Domain: fmt.Sprint("d", e.host%3), Stage: e.stage, Slots: 8, StartTime: e.born.UnixMilli(), Seq: seq, Version: "v1",
 		}
 		running := e.running
 		e.mutex.Unlock()
--- a/serve/fleet_test.go
+++ b/serve/fleet_test.go
@@ -110,6 +110,19 @@
 	require.NoError(f.t, <-m.exited)
 }
 
+// abortEntries ends entry instances at once, without a planned stop: their listeners and connections
+// are closed first, and their callers get nothing more.
+func (f *testFleet) abortEntries(names ...string) {
+	var group sync.WaitGroup
+	for _, name := range names {
+		m := f.running[name]
+		delete(f.running, name)
+		m.process.(*Entry).gateway.Abort()
+		group.Go(func() { m.cancel(); <-m.exited })
+	}
+	group.Wait()
+}
+
 func (f *testFleet) stopAll() {
 	var group sync.WaitGroup
 	for _, m := range f.running {
--- a/soak/target.go
+++ b/soak/target.go
@@ -116,7 +116,7 @@
 	defer t.mutex.Unlock()
 	t.seq++
 	return standin.Heartbeat{
-		ID: t.current.ID(), Service: t.service, Address: t.address(), Domain: t.domain, Stage: t.current.Stage(), Slots: 16,
+		ID: t.current.ID(), Service: t.service, Address: t.address(), Domain: t.domain, Stage: t.current.Stage(), Slots: 16, Version: "v1",
 		StartTime: t.startTime.UnixMilli(), Seq: t.seq, Draining: t.draining,
 	}, incarnation{incarnationName(t.current.ID(), t.starts), t.drainAcked}, !t.stopped
 }
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -87,7 +87,7 @@
 func defectOf(a standin.Response, call standin.Call) string {
 	err := a.CheckPlain(call.ID)
 	if call.HasPrompt {
-		err = a.CheckStream(streamEvents)
+		err = standin.CheckStream(a.Body, streamEvents)
 	}
 	if err != nil {
 		return err.Error()
