Resume completions only at the software version that began them

What callers saw, on the OpenAI-style entry: completions joined from engines of two software versions, with status 200 and the end marker.

The protocol of engines had no place for the version of their software.

Change: engines name it in their load reports, by which the engine that resumes a completion is chosen, and in the header of each response, which decides. Engines that name none count as one version, as before.

Evidence: TestCompletionResumesAtItsVersion, added here, failed before ("... w66ee@v1" after "... wcefa@v2" in completion 3) and passes.

--- a/caller/run.go
+++ b/caller/run.go
@@ -43,6 +43,8 @@
 	first *engine.Chunk
 
 	text strings.Builder
+	// version is the software version of the engine that generated the text so far.
+	version string
 	// position is the number of output tokens that the caller has, one per chunk with text.
 	position              int
 	finishReason          string
@@ -92,6 +94,7 @@
 	}
 	decision := r.server.choose(r.ctx, r.request.service, route.Request{
 		PromptTokens: r.estimatedPromptTokens, OutputTokens: r.request.maxTokens, Blocks: r.request.prefixBlocks, BlockTokens: r.request.blockTokens, Avoid: r.avoid,
+		Version: r.requiredVersion(),
 	})
 	t := decision.Target()
 	if t == nil {
@@ -111,14 +114,40 @@
 		return r.handleFailure(err)
 	}
 	r.request.service.RecordDispatch(t, r.request.prefixBlocks)
+	if r.position > 0 && r.stream.Version() != r.version {
+		return r.otherVersion()
+	}
+	r.version = r.stream.Version()
 	return nil
 }
 
+// requiredVersion returns the software version that the completion must stay at, or nil before the
+// first token. Engines that name none count as one version.
+func (r *run) requiredVersion() *string {
+	if r.position == 0 {
+		return nil
+	}
+	return &r.version
+}
+
+// otherVersion releases a target that generates the rest of the completion at another version than
+// its last load report named.
+func (r *run) otherVersion() *Failure {
+	r.avoid = append(r.avoid, r.target.Name())
+	r.server.logVersionChanged(r)
+	r.releaseTarget()
+	return failed(fasthttp.StatusBadGateway, CodeTargetFailed, "the target runs another software version than the one that began the completion")
+}
+
 // noTarget returns the failure when no target is left to try. Only a request that was
 // never dispatched is reported as not run.
 func (r *run) noTarget() *Failure {
 	if r.position > 0 || r.attempts > 0 {
-		return failed(fasthttp.StatusBadGateway, CodeTargetFailed, "no other target of the service is usable").withRetryAfter(time.Second).withoutRetry()
+		message := "no other target of the service is usable"
+		if r.position > 0 && r.version != "" {
+			message = fmt.Sprintf("no other target is usable that runs software version %q, which began the completion", r.version)
+		}
+		return failed(fasthttp.StatusBadGateway, CodeTargetFailed, message).withRetryAfter(time.Second).withoutRetry()
 	}
 	return reject(fasthttp.StatusServiceUnavailable, CodeNoTarget, "no target of the service is currently usable").withRetryAfter(returnAfter(r.request.service)).withoutRetry()
 }
@@ -311,8 +340,8 @@
 		if failure = r.checkRetry(failure); failure != nil {
 			return failure
 		}
-		r.server.deps.Logger.Log(event.StreamResumed, zap.String("request", r.request.id), zap.Int("position", r.position))
 		if failure = r.dispatch(); failure == nil {
+			r.server.deps.Logger.Log(event.StreamResumed, zap.String("request", r.request.id), zap.Int("position", r.position), zap.String("target", r.target.Name()), zap.String("target_version", r.version))
 			return nil
 		}
 	}
@@ -401,6 +430,11 @@
 
 func (s *Server) random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
+// logVersionChanged logs that a target was given up because its version changed.
+func (s *Server) logVersionChanged(r *run) {
+	s.deps.Logger.Log(event.TargetOtherVersion, zap.String("request", r.request.id), zap.String("target", r.target.Name()), zap.String("target_version", r.stream.Version()), zap.String("required", r.version))
+}
+
 func (s *Server) countRoute(reason route.Reason) {
 	s.deps.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("routed").Inc(1)
 }
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -28,6 +28,9 @@
 	// RateLimitHeader names, in responses of engines and plain services, the number of
 	// requests a second that the target takes from all instances together.
 	RateLimitHeader = "X-Rate-Limit"
+	// VersionHeader names, in responses with a completion, the version of the software that
+	// generates it.
+	VersionHeader = "X-Software-Version"
 )
 
 // BytesPerToken is the protocol's estimate for prompts that are not tokenized.
@@ -99,6 +102,8 @@
 	AwayMs       int64   `json:"away_ms"`
 	LastOrder    string  `json:"last_order"`
 	Epoch        uint64  `json:"epoch"`
+	// SoftwareVersion is the version of the engine's software; empty if it names none.
+	SoftwareVersion string `json:"software_version,omitempty"`
 }
 
 // An Order represents a change of an engine's role or model.
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -42,6 +42,12 @@
 	return &Stream{response: response, lines: lines, position: resumeAt}
 }
 
+// Version returns the version of the software that generates the completion, or "" if the engine
+// names none.
+func (s *Stream) Version() string {
+	return string(s.response.Header().Peek(VersionHeader))
+}
+
 // Next returns the next chunk, or io.EOF after the end marker. Any other end is an
 // error: a stream without its end marker is broken, however long it is.
 func (s *Stream) Next() (*Chunk, error) {
--- a/route/choose.go
+++ b/route/choose.go
@@ -21,6 +21,9 @@
 	// AvoidReclaimable excludes reclaimable targets, for requests that would be
 	// harmed if their target were reclaimed.
 	AvoidReclaimable bool
+	// Version, if not nil, excludes targets whose last load report names another version of their
+	// software.
+	Version *string
 }
 
 // A Reason says why a target was chosen.
@@ -81,6 +84,9 @@
 }
 
 func usable(t *Target, r Request) bool {
+	if r.Version != nil && t.ReportedVersion() != *r.Version {
+		return false
+	}
 	return !t.HeldOff(time.Now()) && !t.ReportedSwitching() && !(r.AvoidReclaimable && t.reclaimable) && !slices.Contains(r.Avoid, t.name)
 }
 
--- a/route/target.go
+++ b/route/target.go
@@ -79,6 +79,7 @@
 	prefillRate      float64
 	decodeRate       float64
 	role             string
+	version          string
 	switching        bool
 	ownInFlight      int64
 	ownPrefillTokens int64
@@ -315,7 +316,9 @@
 	DecodeRate    float64
 	PrefillShare  float64
 	Role          string
-	Switching     bool
+	// Version is the version of the target's software; empty if it names none.
+	Version   string
+	Switching bool
 }
 
 // SetReport stores a load report that arrived at the given time.
@@ -323,7 +326,7 @@
 	t.report.Store(&Report{
 		at: at, running: l.Running, waiting: l.Waiting, waitingTokens: l.WaitingTokens,
 		prefillRate: l.PrefillRate, decodeRate: l.DecodeRate, prefillShare: l.PrefillShare,
-		role: l.Role, switching: l.Switching, ownInFlight: t.inFlight.Load(), ownPrefillTokens: t.prefillTokens.Load(),
+		role: l.Role, version: l.Version, switching: l.Switching, ownInFlight: t.inFlight.Load(), ownPrefillTokens: t.prefillTokens.Load(),
 	})
 }
 
@@ -395,6 +398,15 @@
 	return r != nil && r.switching
 }
 
+// ReportedVersion returns the version of its software that the target's last load report names, or
+// an empty string.
+func (t *Target) ReportedVersion() string {
+	if r := t.report.Load(); r != nil {
+		return r.version
+	}
+	return ""
+}
+
 // maxBacklogSeconds is the prefill time of the waiting prompts from which a target
 // has no room. It leaves most of the 1.3 s to the first token for the new prompt's
 // own prefill.
--- a/serve/mixed_versions_test.go
+++ b/serve/mixed_versions_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"auburnscale/platform/standin"
+	engine "auburnscale/standin"
 )
 
 const (
@@ -220,3 +222,30 @@
 	time.Sleep(300 * time.Millisecond)
 	require.GreaterOrEqual(t, f.takeUp(broken, entries), streams*9/10, "streams go on")
 }
+
+// TestCompletionResumesAtItsVersion guards against completions of the OpenAI-style entry that are joined
+// from engines of two software versions.
+func TestCompletionResumesAtItsVersion(t *testing.T) {
+	const completions, tokens = 40, 12
+	var configs []engine.EngineConfig
+	for i, version := range []string{"v1", "v1", "v2", "v2"} {
+		configs = append(configs, engine.EngineConfig{Name: fmt.Sprint("e", i), Seed: uint64(i), Version: version, Faults: engine.Faults{TruncateEvery: 3}})
+	}
+	s := newTestCluster(t, configs, nil)
+	s.firstToken = waitLimit
+	s.start()
+	whole := 0
+	for i := range completions {
+		stream := s.post("a1", guildKey, "/v1/chat/completions", chatBody(fmt.Sprint("rider ", i), tokens, i%2 == 0))
+		text, done := stream.streamed()
+		if i%2 != 0 {
+			text, done = stream.content(), stream.status == http.StatusOK
+		}
+		require.LessOrEqual(t, len(engine.OutputVersions(text)), 1, "completion %d: %s", i, text)
+		if done {
+			whole++
+			require.Equal(t, tokens, len(strings.Fields(text)), text)
+		}
+	}
+	require.GreaterOrEqual(t, whole, completions*3/4, "completions are resumed")
+}
--- a/standin/complete.go
+++ b/standin/complete.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,6 +42,28 @@
 	return fmt.Sprintf("w%04x ", (h>>20)&0xffff)
 }
 
+// VersionedToken returns the text of the output token of an engine of the software version.
+func VersionedToken(version, prompt string, position int) string {
+	token := Token(prompt, position)
+	if version == "" {
+		return token
+	}
+	return strings.TrimSuffix(token, " ") + versionMark + version + " "
+}
+
+// versionMark precedes the software version in a token.
+const versionMark = "@"
+
+// OutputVersions returns the software versions that the tokens of a text name, each once.
+func OutputVersions(text string) (versions []string) {
+	for token := range strings.FieldsSeq(text) {
+		if _, version, named := strings.Cut(token, versionMark); named && !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
 // Output returns the first n tokens of the completion of the prompt.
 func Output(prompt string, n int) string {
 	var b strings.Builder
@@ -83,6 +106,9 @@
 	if due(e.config.Faults.MismatchIDEvery, arrival) {
 		ctx.Response.Header.Set(requestIDHeader, "another-request")
 	}
+	if e.config.Version != "" {
+		ctx.Response.Header.Set(engine.VersionHeader, e.config.Version)
+	}
 	w := &chunkWriter{engine: e, q: q, prompt: prompt, model: body.Model, chat: len(body.Messages) > 0, arrival: arrival}
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStreamWriter(w.write)
@@ -133,7 +159,7 @@
 				w.engine.endTruncated(out)
 				return
 			}
-			if w.send(out, w.chunk(Token(w.prompt, position), position, nil)) != nil {
+			if w.send(out, w.chunk(VersionedToken(w.engine.config.Version, w.prompt, position), position, nil)) != nil {
 				return
 			}
 		case <-w.engine.stop:
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -57,6 +57,9 @@
 	Timing      Timing
 	Seed        uint64
 	Faults      Faults
+	// Version, if not empty, is the version of the engine's software, which its responses and its
+	// output name.
+	Version string
 	// OnCrash is called after a crash has closed the engine's connections. It may
 	// be nil.
 	OnCrash func()
@@ -257,6 +260,7 @@
 		Waiting: len(e.batch.waiting), WaitingTokens: e.batch.waitingTokens(), Slots: e.config.Slots,
 		PrefillRate: float64(e.batch.chunk) / busyStep.Seconds() / slow, DecodeRate: 1 / stepTime.Seconds() / slow,
 		PrefillShare: e.prefillShare, AwayMs: switchingTime.Milliseconds(), LastOrder: e.lastOrder, Epoch: e.epoch,
+		SoftwareVersion: e.config.Version,
 	}
 	return engineLoad{Load: load, CacheHits: e.batch.cache.hits, CacheAsked: e.batch.cache.lookups}
 }
--- a/target/probe.go
+++ b/target/probe.go
@@ -115,11 +115,11 @@
 	}
 	p.target.SetReport(route.Load{
 		Running: load.Running, Waiting: load.Waiting, WaitingTokens: load.WaitingTokens, PrefillRate: load.PrefillRate,
-		DecodeRate: load.DecodeRate, PrefillShare: load.PrefillShare, Role: load.Role, Switching: load.AwayMs > 0,
+		DecodeRate: load.DecodeRate, PrefillShare: load.PrefillShare, Role: load.Role, Version: load.SoftwareVersion, Switching: load.AwayMs > 0,
 	}, time.Now())
 	if p.up.CompareAndSwap(false, true) {
 		p.registry.requestRefresh()
-		p.registry.logger.Log(event.TargetUp, zap.String("target", p.spec.Name), zap.String("incarnation", load.Incarnation))
+		p.registry.logger.Log(event.TargetUp, zap.String("target", p.spec.Name), zap.String("incarnation", load.Incarnation), zap.String("software_version", load.SoftwareVersion))
 	}
 }
 
