Do not let a stream go on at a target that has started again

The target that was to continue it had crashed and started again under its id, with another version; the entry instance, cut off from a control instance, still knew the earlier start. An id names a target and not a start of it, so that the expected target does not help.

Change: a target is asked for its start, which it states in its report, before it continues a stream; one that has started again is not used. What was sent to a target since its new start may have been begun by that start, also if the stream has ended; such records are disputed.

Without the question TestRestartedTargetContinuesNothing gets v2.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"auburnscale/catalog"
 	"auburnscale/clock"
 	"auburnscale/exchange"
+	"auburnscale/origin"
 	"auburnscale/route"
 )
 
@@ -61,6 +62,9 @@
 	if !c.permitted(p.DecodeTarget) || !c.maySend(p.DecodeTarget) {
 		return false, nil
 	}
+	if c.origin != (origin.Origin{}) && !c.sameStart(p.DecodeTarget) {
+		return false, nil
+	}
 	prefillTokens, source := p.PrefillTokens, c.kvSource
 	if source != "" {
 		prefillTokens = 0
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -21,6 +21,8 @@
 	// stream that is on no record goes on, and originSpanTimeouts the same in timeouts of the route.
 	minOriginSpan      = 30 * time.Second
 	originSpanTimeouts = 2
+	// startTimeout bounds how long a target is asked for its start.
+	startTimeout = 300 * time.Millisecond
 	// unknownOriginRetryAfter is the Retry-After of a stream that is on no record: its record may be
 	// under way, or at a control instance that did not answer.
 	unknownOriginRetryAfter = 300 * time.Millisecond
@@ -85,6 +87,43 @@
 	return k == nil || k.row.BornMs == t.Incarnation() || k.target.Software() == t.Software()
 }
 
+// A knownStart is a start of a target that this instance learned of at the given time.
+type knownStart struct {
+	incarnation int64
+	software    string
+	at          time.Time
+}
+
+const (
+	// startRetention is how long the start of a target that has ended is remembered.
+	startRetention = time.Minute
+	// startTolerance is added to the age of a start for the difference of two clocks, and
+	// minStartAge and maxStartAge bound the result. Heartbeats are late by seconds at most.
+	startTolerance = time.Second
+	minStartAge    = 2 * time.Second
+	maxStartAge    = 10 * time.Second
+)
+
+// noteStart records a start of a target. If it runs other software than the one before, the streams
+// that were sent to the target since it started may have been begun by it. f.mutex must be held.
+func (f *Fleets) noteStart(t *route.Target, now time.Time) {
+	before, known := f.starts[t.Name()]
+	f.starts[t.Name()] = knownStart{t.Incarnation(), t.Software(), now}
+	if known && before.incarnation != t.Incarnation() && before.software != t.Software() {
+		age := now.Sub(time.UnixMilli(t.Incarnation())) + startTolerance
+		f.origins.StartChanged(t.Name(), t.Incarnation(), min(maxStartAge, max(minStartAge, age)))
+	}
+}
+
+// forgetStarts removes the starts of targets that ended long ago. f.mutex must be held.
+func (f *Fleets) forgetStarts(alive map[string]bool, now time.Time) {
+	for id, s := range f.starts {
+		if !alive[id] && now.Sub(s.at) > startRetention {
+			delete(f.starts, id)
+		}
+	}
+}
+
 // An OriginFinder finds what began a stream.
 type OriginFinder interface {
 	// Find returns what may continue the stream that the request with the hash began, at most
@@ -92,6 +131,35 @@
 	Find(ctx context.Context, hash uint64, services []string, span time.Duration) origin.Decision
 }
 
+// A StartAsker asks targets which start of them is running.
+type StartAsker interface {
+	// Incarnation returns the start of the target that runs at the address now, or 0 if the
+	// target states none.
+	Incarnation(ctx context.Context, target, address string) (int64, error)
+}
+
+// sameStart reports whether the target still runs the start that this instance knows of. One that
+// started again under its id may run another version, and would continue the stream all the same. Plain
+// services state no start.
+func (c *call) sameStart(t *route.Target) bool {
+	if c.service.Engine == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+	defer cancel()
+	running, err := c.server.deps.Starts.Incarnation(ctx, t.Name(), t.Address())
+	switch {
+	case err != nil:
+		c.recordError(t, err)
+		return false
+	case running != 0 && running != t.Incarnation():
+		c.excluded = append(c.excluded, t.Name())
+		c.server.logOtherStart(c, t, running)
+		return false
+	}
+	return true
+}
+
 // resumable reports whether the response is a stream that may go on at another target.
 func (c *call) resumable() bool { return c.route.Resumable }
 
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -17,6 +17,7 @@
 // announceVersion announces the target as one of the version, in a start that began then.
 func (f *fixture) announceVersion(i int, version string, born int64) {
 	f.targets[i].SetVersion(version)
+	f.targets[i].SetStart(born)
 	f.announceRow(i, func(row *peer.TargetRow) { row.SoftwareVersion, row.BornMs = version, born })
 }
 
@@ -159,6 +160,40 @@
 	require.Contains(t, response.body, "version_unknown")
 }
 
+// TestRestartedTargetContinuesNothing guards against streams that go on at a target that has started
+// again under its id, with another version, before this instance learns of it.
+func TestRestartedTargetContinuesNothing(t *testing.T) {
+	f := newFixtureWith(t, 2, fixtureOptions{engines: true})
+	f.announceVersion(0, "v1", 2)
+	f.announceVersion(1, "v1", 2)
+	restart := func(i int) {
+		f.targets[i].SetVersion("v2")
+		f.targets[i].SetStart(3)
+	}
+	f.recordOrigin("r", "desk", "v1")
+	restart(0)
+	for range 4 {
+		response := f.takeUp("r")
+		require.Equal(t, []string{"v1"}, standin.Versions(response.body))
+	}
+	restart(1)
+	response := f.takeUp("r")
+	require.Equal(t, http.StatusServiceUnavailable, response.status, response.body)
+
+	// The same within a response.
+	f.announceVersion(0, "v1", 4)
+	f.announceVersion(1, "v1", 4)
+	for i, target := range f.targets {
+		target.Script(func(t *standin.Target, w http.ResponseWriter, r *http.Request) bool {
+			restart(1 - i)
+			return standin.BreakFresh(1)(t, w, r)
+		})
+	}
+	response, id := f.send(http.MethodPost, "/resumable/1", streamHeaders...)
+	require.Error(t, response.err)
+	require.Equal(t, 1, f.runs(id))
+}
+
 // TestUnknownVersionIsRefusedAtOnce checks that the refusal does not wait for the deadline.
 func TestUnknownVersionIsRefusedAtOnce(t *testing.T) {
 	f := newFixture(t, 2)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -120,6 +120,8 @@
 	logger *event.Logger
 	// asker answers questions for permits. The default is a leader that issues all.
 	asker permit.Asker
+	// engines makes the targets engines, which state their starts.
+	engines bool
 }
 
 // askerFunc is an asker that calls itself.
@@ -143,7 +145,11 @@
 	if o.asker == nil {
 		o.asker = askerFunc(issueAll)
 	}
-	snapshot, findings := catalog.New(configuration())
+	c := configuration()
+	if o.engines {
+		c.Services[0].Engine = &catalog.Engine{}
+	}
+	snapshot, findings := catalog.New(c)
 	require.NoError(t, findings.Err())
 	f := &fixture{t: t, state: &fakeState{snapshot: snapshot}, runCounter: &fakeRunCounter{map[string]int{}}, roster: roster.New(clock.Now, time.Hour)}
 	f.origins = origin.NewJournal(clock.Now)
@@ -151,13 +157,17 @@
 	f.fleets = gateway.NewFleets(gateway.FleetsConfig{FailureDomain: "d0", DrainTime: drainTime}, f.roster, permit.NewGate(clock.Now, o.asker), f.origins, o.logger)
 	for i := range targets {
 		target := standin.NewTarget(fmt.Sprint("e", i))
+		if o.engines {
+			target.SetEngine("decode", &standin.ActionRecorder{})
+		}
 		require.NoError(t, target.Listen("127.0.0.1:0"))
 		t.Cleanup(target.Close)
 		f.targets = append(f.targets, target)
 		f.announce(i, peer.TargetRow_STAGE_UNSPECIFIED)
 	}
+	dialer := exchange.NewDialer(netip.MustParseAddr("127.0.0.1"))
 	f.server = gateway.New(gateway.Config{RequestAddress: freeAddress(t), ReadinessAddress: freeAddress(t), StopNotice: 10 * time.Millisecond, StopTimeout: waitLimit}, gateway.Dependencies{
-		State: f.state, Codec: platform.HeaderCodec{}, Dialer: exchange.NewDialer(netip.MustParseAddr("127.0.0.1")), Fleets: f.fleets,
+		State: f.state, Codec: platform.HeaderCodec{}, Dialer: dialer, Starts: platform.NewEngineClient(dialer, "test"), Fleets: f.fleets,
 		Budget: o.budget, Suspects: retry.NewSuspects(), Blocks: f.blocks, Runs: f.runCounter, Origins: f.origins, OriginFinder: origin.NewFinder(f.origins, f.roster, func() []string { return nil }, nil), Metrics: tally.NoopScope, Logger: o.logger,
 	})
 	require.NoError(t, f.server.Listen())
--- a/gateway/fleets.go
+++ b/gateway/fleets.go
@@ -38,7 +38,9 @@
 	heldBlocks []*peer.HeldBlock
 	// returns holds, by service, the latest time announced by ReturnAfter.
 	returns map[string]time.Time
-	fleets  atomic.Pointer[map[string]*route.Fleet]
+	// starts holds the latest known start of each target, also for a while after it has ended.
+	starts map[string]knownStart
+	fleets atomic.Pointer[map[string]*route.Fleet]
 	// reserves holds, by service, targets that may only continue streams.
 	reserves atomic.Pointer[map[string]reserve]
 }
@@ -87,7 +89,7 @@
 func NewFleets(config FleetsConfig, leaving LeavingRecorder, gate *permit.Gate, origins *origin.Journal, logger *event.Logger) *Fleets {
 	f := &Fleets{
 		domain: config.FailureDomain, placer: config.Placer, continueTime: config.DrainTime / drainShare, leaving: leaving, gate: gate, origins: origins, logger: logger, reach: newReachability(),
-		targets: map[string]*knownTarget{}, services: map[string]*serviceState{}, returns: map[string]time.Time{},
+		targets: map[string]*knownTarget{}, services: map[string]*serviceState{}, returns: map[string]time.Time{}, starts: map[string]knownStart{},
 	}
 	f.fleets.Store(&map[string]*route.Fleet{})
 	f.reserves.Store(&map[string]reserve{})
@@ -131,6 +133,7 @@
 			delete(f.targets, id)
 		}
 	}
+	f.forgetStarts(alive, now)
 	f.fleets.Store(&fleets)
 	f.reserves.Store(&reserves)
 }
@@ -192,10 +195,8 @@
 	}
 	if k != nil {
 		state.index.RemoveTarget(k.target)
-		if k.target.Software() != next.Software() {
-			f.origins.StartChanged(row.Id, row.BornMs)
-		}
 	}
+	f.noteStart(next, now)
 	k = &knownTarget{row: row, target: next}
 	f.targets[row.Id] = k
 	return k
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -236,7 +236,7 @@
 		if t == nil || c.refuseIfQuarantined() != nil || c.heldOff > maxHeldOff {
 			return nil, nil
 		}
-		if !c.permitted(t) {
+		if !c.permitted(t) || !c.sameStart(t) {
 			continue
 		}
 		if !c.spendRetry() {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -77,8 +77,10 @@
 	// callers take up.
 	Origins      *origin.Journal
 	OriginFinder OriginFinder
-	Metrics      tally.Scope
-	Logger       *event.Logger
+	// Starts asks targets for their starts. It may be nil if all services are plain ones.
+	Starts  StartAsker
+	Metrics tally.Scope
+	Logger  *event.Logger
 }
 
 // A Server accepts and handles callers' requests.
--- a/origin/journal.go
+++ b/origin/journal.go
@@ -47,6 +47,7 @@
 	owner       *Stream
 	target      string
 	incarnation int64
+	sentAt      time.Duration
 	// exposed is true if the origin was put into a report, and delivered if a control instance
 	// has it.
 	exposed, delivered bool
@@ -124,7 +125,7 @@
 	if r.exposed && r.origin != o {
 		return false
 	}
-	r.owner, r.target, r.incarnation = s, target, incarnation
+	r.owner, r.target, r.incarnation, r.sentAt = s, target, incarnation, j.now()
 	j.change(r, o)
 	return true
 }
@@ -179,13 +180,14 @@
 	j.dirty[r] = true
 }
 
-// StartChanged records that the target has started again, with other software. The streams that
-// are open there may have been begun by that start.
-func (j *Journal) StartChanged(target string, incarnation int64) {
+// StartChanged records that the target has started again, with other software, at most age ago. The
+// streams that were sent there since may have been begun by that start.
+func (j *Journal) StartChanged(target string, incarnation int64, age time.Duration) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
+	now := j.now()
 	for _, r := range j.records {
-		if r.open > 0 && r.target == target && r.incarnation != incarnation {
+		if r.target == target && r.incarnation != incarnation && now-r.sentAt <= age {
 			j.change(r, disputed)
 		}
 	}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -136,19 +136,24 @@
 	require.Equal(t, disputed, o, "a dispute does not end")
 }
 
-// TestLaterStartDisputesOpenStreams checks that a stream whose target turns out to have started
-// again with other software has no certain origin.
-func TestLaterStartDisputesOpenStreams(t *testing.T) {
-	j := NewJournal((&testClock{}).now)
-	open, ended := j.Open(7), j.Open(8)
+// TestLaterStartDisputesStreams checks that a stream that was sent to a target after it had started
+// again with other software, as it turns out, has no certain origin, even if it has ended.
+func TestLaterStartDisputesStreams(t *testing.T) {
+	c := &testClock{}
+	j := NewJournal(c.now)
+	before, open, ended := j.Open(7), j.Open(8), j.Open(9)
+	before.Sent(old, "a", 1)
+	c.at += 3 * time.Second
 	open.Sent(old, "a", 1)
 	ended.Sent(old, "a", 1)
 	ended.Close()
-	j.StartChanged("a", 2)
-	o, _ := j.Find(7)
-	require.Equal(t, disputed, o)
-	o, _ = j.Find(8)
-	require.Equal(t, old, o)
+	j.Open(10).Sent(old, "b", 1)
+	c.at += time.Second
+	j.StartChanged("a", 2, 2*time.Second)
+	for hash, want := range map[uint64]Origin{7: old, 8: disputed, 9: disputed, 10: old} {
+		o, _ := j.Find(hash)
+		require.Equal(t, want, o, hash)
+	}
 }
 
 // TestIndexIsBounded checks that the index and its list of records to copy do not grow without
