Keep a decode engine of every software version

Stages were ordered without regard to versions.

Change: among the engines of a domain that may change their stage, the last decode engine of a version is picked last, and an engine of a version without one first. With one version nothing differs.

TestEveryVersionKeepsADecodeEngine failed before. Partial: a version whose only decode engine crashes still has none for seconds.

--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -166,6 +166,33 @@
 	require.Equal(t, []StageChange{{"e00", peer.TargetRow_DECODE}}, changes)
 }
 
+// TestEveryVersionKeepsADecodeEngine checks which engines change their stage in a release: a stream goes
+// on only at a decode engine of the version that began it.
+func TestEveryVersionKeepsADecodeEngine(t *testing.T) {
+	ofVersion := func(version string, row *peer.TargetRow) *peer.TargetRow {
+		row.SoftwareVersion = version
+		return row
+	}
+	var rows []*peer.TargetRow
+	for i := range 8 {
+		rows = append(rows, ofVersion("v1", engineRow(i, "d1", peer.TargetRow_DECODE, false)))
+	}
+	rows = append(rows, ofVersion("v2", engineRow(8, "d1", peer.TargetRow_DECODE, true)), ofVersion("v2", engineRow(9, "d1", peer.TargetRow_PREFILL, true)))
+	changes := StageChanges(rows)
+	require.NotEmpty(t, changes)
+	require.NotContains(t, changes, StageChange{"e08", peer.TargetRow_PREFILL}, "it is the last of its version")
+
+	rows = nil
+	for i := range 6 {
+		rows = append(rows, ofVersion("v1", engineRow(i, "d1", peer.TargetRow_PREFILL, false)))
+	}
+	rows = append(rows, ofVersion("v1", engineRow(6, "d1", peer.TargetRow_DECODE, false)),
+		ofVersion("v2", engineRow(7, "d1", peer.TargetRow_PREFILL, true)), ofVersion("v2", engineRow(8, "d1", peer.TargetRow_PREFILL, true)))
+	changes = StageChanges(rows)
+	require.NotEmpty(t, changes)
+	require.Equal(t, StageChange{"e07", peer.TargetRow_DECODE}, changes[0])
+}
+
 func TestSmallDeviationChangesNothing(t *testing.T) {
 	rows := []*peer.TargetRow{
 		engineRow(0, "d1", peer.TargetRow_DECODE, false), engineRow(1, "d1", peer.TargetRow_PREFILL, false), engineRow(2, "d1", peer.TargetRow_PREFILL, false),
--- a/plan/stage.go
+++ b/plan/stage.go
@@ -27,9 +27,12 @@
 // StageChanges returns the changes that bring the share of a service's engines that
 // decode to decodeShare. Every failure domain keeps at least one decode engine, so
 // that it can serve while it is cut off from the others. A deviation within the
-// tolerance causes no change, except for a failure domain without a decode engine.
+// tolerance causes no change, except for a failure domain without a decode engine. Among the engines of a
+// domain, those are picked that leave each software version with decode engines, since a stream
+// goes on only at the version that began it.
 func StageChanges(rows []*peer.TargetRow) []StageChange {
 	domains := map[string]*domainEngines{}
+	versions := versionCounts{}
 	total, decoding := 0, 0
 	for _, row := range rows {
 		if row.Stage == peer.TargetRow_STAGE_UNSPECIFIED || row.Silent {
@@ -37,10 +40,11 @@
 		}
 		d := domains[row.Domain]
 		if d == nil {
-			d = &domainEngines{}
+			d = &domainEngines{versions: versions}
 			domains[row.Domain] = d
 		}
 		total++
+		versions.of(row).total++
 		isDecode := row.Stage == peer.TargetRow_DECODE
 		switch {
 		case row.AwayMs > 0:
@@ -51,6 +55,7 @@
 			}
 		case isDecode:
 			decoding++
+			versions.of(row).decode++
 			d.decode = append(d.decode, row)
 		default:
 			d.prefill = append(d.prefill, row)
@@ -78,23 +83,53 @@
 type domainEngines struct {
 	decode, prefill   []*peer.TargetRow
 	switchingToDecode int
+	versions          versionCounts
 }
 
-// switchToDecode picks a prefill engine, preferring one that is not reclaimable.
+// versionCounts holds the engines of a service by their software version.
+type versionCounts map[string]*versionCount
+
+// A versionCount is the number of a version's engines, and of those that decode.
+type versionCount struct{ decode, total int }
+
+func (v versionCounts) of(row *peer.TargetRow) *versionCount {
+	if v[row.SoftwareVersion] == nil {
+		v[row.SoftwareVersion] = &versionCount{}
+	}
+	return v[row.SoftwareVersion]
+}
+
+// lacking returns 1 if the version of the row, which has several engines, has at most that many that
+// decode, else 0.
+func (v versionCounts) lacking(row *peer.TargetRow, decode int) int {
+	if c := v.of(row); c.total > 1 && c.decode <= decode {
+		return 1
+	}
+	return 0
+}
+
+// switchToDecode picks a prefill engine, preferring one of a version of which none decodes, and then one that
+// is not reclaimable.
 func (d *domainEngines) switchToDecode() StageChange {
-	slices.SortStableFunc(d.prefill, func(a, b *peer.TargetRow) int { return cmp.Compare(retentionRank(b), retentionRank(a)) })
+	slices.SortStableFunc(d.prefill, func(a, b *peer.TargetRow) int {
+		return cmp.Or(cmp.Compare(d.versions.lacking(b, 0), d.versions.lacking(a, 0)), cmp.Compare(retentionRank(b), retentionRank(a)))
+	})
 	e := d.prefill[0]
 	d.prefill = d.prefill[1:]
 	d.decode = append(d.decode, e)
+	d.versions.of(e).decode++
 	return StageChange{e.Id, peer.TargetRow_DECODE}
 }
 
-// switchToPrefill picks a decode engine, preferring a reclaimable one, since
-// losing a prefill engine does the least harm.
+// switchToPrefill picks a decode engine, preferring one that is not the last of its version, and then a
+// reclaimable one, since losing a prefill engine does the least harm.
 func (d *domainEngines) switchToPrefill() StageChange {
-	slices.SortStableFunc(d.decode, func(a, b *peer.TargetRow) int { return cmp.Compare(retentionRank(a), retentionRank(b)) })
+	slices.SortStableFunc(d.decode, func(a, b *peer.TargetRow) int {
+		return cmp.Or(cmp.Compare(d.versions.lacking(a, 1), d.versions.lacking(b, 1)), cmp.Compare(retentionRank(a), retentionRank(b)))
+	})
 	e := d.decode[0]
 	d.decode = d.decode[1:]
+	d.versions.of(e).decode--
 	return StageChange{e.Id, peer.TargetRow_PREFILL}
 }
 
