Bound what is remembered of software versions; test mixed releases and hand-overs

A service whose targets name thousands of versions would have made the history of software grow with them on entry instances, and answers to questions for an origin as well. 4,096 are kept; what is forgotten does not count as covered. An answer lists the 16 that served last.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -140,9 +140,9 @@
 
 // sameStart reports whether the target still runs the start that this instance knows of. One that
 // started again under its id may run another version, and would continue the stream all the same. Plain
-// services state no start.
+// services state no start, and neither do targets whose heartbeats name none.
 func (c *call) sameStart(t *route.Target) bool {
-	if c.service.Engine == nil {
+	if c.service.Engine == nil || t.Incarnation() == 0 {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -194,6 +194,39 @@
 	require.Equal(t, 1, f.runs(id))
 }
 
+// TestHandOverStaysAtTheVersion guards against the rest of a stream that goes on, after its prompt was
+// read elsewhere, at another version: when it is placed, and when the decode target that was chosen leaves
+// meanwhile.
+func TestHandOverStaysAtTheVersion(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		f := newFixture(t, 4)
+		versions := []string{"v2", "v1", "v2", "v1"}
+		for i, version := range versions {
+			f.targets[i].SetVersion(version)
+			f.announceRow(i, func(row *peer.TargetRow) {
+				row.SoftwareVersion, row.Stage = version, peer.TargetRow_DECODE
+				if i == 0 {
+					row.Stage = peer.TargetRow_PREFILL
+				}
+			})
+		}
+		f.recordOrigin("r", "desk", "v1")
+		if leaves {
+			f.targets[0].Script(func(*standin.Target, http.ResponseWriter, *http.Request) bool {
+				f.roster.UpdateTarget(&peer.TargetRow{Id: "e1", State: peer.TargetRow_GONE, BornMs: 1})
+				f.refresh()
+				return false
+			})
+		}
+		for range 8 {
+			response, _ := f.send(http.MethodPost, "/resumable/1", "X-Model", "m", "X-Token-Count", "50000,10", "X-Prefix-Hash", "a1:40000,b2:10000", "Last-Event-Id", "1", "Resumes", "r")
+			require.Equal(t, []string{"v1"}, standin.Versions(response.body))
+		}
+		require.NotEmpty(t, f.targets[0].Seen(), "the prompt is read at the prefill target")
+		require.Empty(t, f.targets[2].Seen())
+	}
+}
+
 // TestUnknownVersionIsRefusedAtOnce checks that the refusal does not wait for the deadline.
 func TestUnknownVersionIsRefusedAtOnce(t *testing.T) {
 	f := newFixture(t, 2)
--- a/origin/finder.go
+++ b/origin/finder.go
@@ -1,7 +1,9 @@
 package origin
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -95,6 +97,9 @@
 	return e
 }
 
+// maxHistory bounds the software in an answer. Two kinds of it already leave the origin of a stream open.
+const maxHistory = 16
+
 // Answer returns what a control instance with the index and history knows.
 func Answer(index *Index, history HistorySource, question *peer.OriginQuestion) *peer.OriginAnswer {
 	answer := &peer.OriginAnswer{}
@@ -102,7 +107,8 @@
 		answer.Origins = append(answer.Origins, &peer.StreamOrigins{Service: o.Service, Software: o.Software})
 	}
 	seen, covered := seenOf(history, question.Services)
-	for _, s := range seen {
+	slices.SortFunc(seen, func(a, b Seen) int { return cmp.Compare(a.Age, b.Age) })
+	for _, s := range seen[:min(len(seen), maxHistory)] {
 		answer.History = append(answer.History, &peer.SoftwareSeen{Service: s.Origin.Service, Software: s.Origin.Software, AgeMs: s.Age.Milliseconds()})
 	}
 	answer.CoveredMs = covered.Milliseconds()
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -1,6 +1,9 @@
 package origin
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -173,6 +176,52 @@
 	require.Zero(t, position)
 }
 
+// TestAnswerIsBounded checks that an answer stays small when many versions serve, and still tells
+// that several do.
+func TestAnswerIsBounded(t *testing.T) {
+	var many []Seen
+	for i := range 1000 {
+		many = append(many, Seen{Origin{"lm", Software(fmt.Sprint("v", i), "", 0)}, time.Duration(1000-i) * time.Second})
+	}
+	answer := Answer(NewIndex((&testClock{}).now), fixedHistory(many), &peer.OriginQuestion{Request: 1, Services: []string{"lm"}})
+	require.Len(t, answer.History, maxHistory)
+	require.Equal(t, Several, Decide([]Evidence{decodeAnswer(answer)}, 30*time.Second).Reason())
+}
+
+// fixedHistory is a history that does not change.
+type fixedHistory []Seen
+
+func (h fixedHistory) SoftwareSeen(string) ([]Seen, time.Duration) { return h, time.Hour }
+
+// A refusingDialer reaches control instances of a release that does not know the call.
+type refusingDialer struct{}
+
+func (refusingDialer) Peer(string) peer.Peer { return refusingPeer{} }
+
+type refusingPeer struct{ peer.Peer }
+
+func (refusingPeer) FindOrigin(context.Context, *peer.OriginQuestion) (*peer.OriginAnswer, error) {
+	return nil, errors.New("no such call")
+}
+
+// TestControlInstancesOfAnEarlierRelease checks that an instance decides by what it knows itself if
+// control instances do not know the call.
+func TestControlInstancesOfAnEarlierRelease(t *testing.T) {
+	j := NewJournal((&testClock{}).now)
+	j.Open(7).Sent(newer, "a", 1)
+	one, both := fixedHistory{{old, 0}}, fixedHistory{{old, 0}, {newer, 0}}
+	for name, c := range map[string]struct {
+		history fixedHistory
+		hash    uint64
+		reason  Reason
+	}{"own record": {both, 7, Recorded}, "one version": {one, 8, Single}, "two versions": {both, 8, Several}} {
+		f := NewFinder(j, c.history, func() []string { return []string{"c1", "c2"} }, refusingDialer{})
+		d := f.Find(context.Background(), c.hash, []string{"lm"}, 30*time.Second)
+		require.Equal(t, c.reason, d.Reason(), name)
+		require.False(t, d.Conclusive(), name)
+	}
+}
+
 // TestDecide checks what may continue a stream, by what instances know.
 func TestDecide(t *testing.T) {
 	const span = 30 * time.Second
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -55,10 +55,10 @@
 
 	mutex   sync.Mutex
 	entries map[string]*entry
-	// served holds when software last served that a target stopped running, and createdAt when the
-	// roster was created.
-	served    map[origin.Origin]time.Duration
-	createdAt time.Duration
+	// served holds when software last served that a target stopped running; it has all that did after
+	// softwareSince.
+	served        map[origin.Origin]time.Duration
+	softwareSince time.Duration
 	// leaving holds this instance's own observations of leaving targets by id.
 	leaving  map[string]leavingReport
 	revision uint64
@@ -88,7 +88,7 @@
 // New returns an empty roster that takes the time from now. A target is marked
 // as unresponsive after unresponsiveAfter without a heartbeat.
 func New(now func() time.Duration, unresponsiveAfter time.Duration) *Roster {
-	r := &Roster{now: now, unresponsiveAfter: unresponsiveAfter, entries: map[string]*entry{}, served: map[origin.Origin]time.Duration{}, createdAt: now(), leaving: map[string]leavingReport{}, changed: make(chan struct{})}
+	r := &Roster{now: now, unresponsiveAfter: unresponsiveAfter, entries: map[string]*entry{}, served: map[origin.Origin]time.Duration{}, softwareSince: now(), leaving: map[string]leavingReport{}, changed: make(chan struct{})}
 	r.snapshot.Store(newSnapshot(0, nil))
 	return r
 }
--- a/roster/software.go
+++ b/roster/software.go
@@ -7,8 +7,12 @@
 	"auburnscale/peer"
 )
 
-// softwareRetention is how long software that does not serve any more is remembered.
-const softwareRetention = 10 * time.Minute
+const (
+	// softwareRetention is how long software that does not serve any more is remembered.
+	softwareRetention = 10 * time.Minute
+	// maxSoftware bounds what is remembered. Beyond it the history covers less.
+	maxSoftware = 4096
+)
 
 // SoftwareOf returns what the target of the row runs.
 func SoftwareOf(row *peer.TargetRow) string {
@@ -16,7 +20,7 @@
 }
 
 // SoftwareSeen returns the software that targets of the service run, or ran within
-// softwareRetention, and the time that this covers: until the roster was created.
+// softwareRetention, and the time that this covers, at most since the roster was created.
 func (r *Roster) SoftwareSeen(service string) ([]origin.Seen, time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -44,7 +48,7 @@
 	for o, age := range ages {
 		list = append(list, origin.Seen{Origin: o, Age: age})
 	}
-	return list, now - r.createdAt
+	return list, now - r.softwareSince
 }
 
 // noteServed records that the target of the row served until the given time, on the clock of
@@ -57,6 +61,24 @@
 	if known, found := r.served[o]; !found || at > known {
 		r.served[o] = at
 	}
+	if len(r.served) > maxSoftware {
+		r.forgetSoftware(r.now())
+	}
+	for len(r.served) > maxSoftware {
+		r.forgetOldestSoftware()
+	}
+}
+
+// forgetOldestSoftware removes the software that served least recently. r.mutex must be held.
+func (r *Roster) forgetOldestSoftware() {
+	var oldest origin.Origin
+	for o, at := range r.served {
+		if oldest == (origin.Origin{}) || at < r.served[oldest] {
+			oldest = o
+		}
+	}
+	r.softwareSince = max(r.softwareSince, r.served[oldest])
+	delete(r.served, oldest)
 }
 
 // forgetSoftware removes software that last served longer than softwareRetention ago. r.mutex must
--- a/roster/software_test.go
+++ b/roster/software_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,6 +87,19 @@
 	require.NotContains(t, seen(r), software("v1"))
 }
 
+// TestManyVersionsAreBounded checks that the memory of software does not grow with the number of
+// versions, and that what was forgotten does not count as covered.
+func TestManyVersionsAreBounded(t *testing.T) {
+	r, c := newRoster()
+	for i := range 2 * maxSoftware {
+		c.at += time.Millisecond
+		r.UpdateTarget(versionRow("e1", "1:1", fmt.Sprint("v", i), int64(10+i), 1))
+	}
+	require.LessOrEqual(t, len(seen(r)), maxSoftware+1)
+	_, covered := r.SoftwareSeen("desk")
+	require.Equal(t, (maxSoftware)*time.Millisecond, covered)
+}
+
 // TestDrainingTimeSpreads checks that an instance counts the time for which a target drains from when
 // the first instance learned of it.
 func TestDrainingTimeSpreads(t *testing.T) {
