Let targets run several versions in the soak, and callers take streams up

Each start of a target runs one of three software versions, some announce none, and ids come back with others. Callers take broken streams up at other instances. A stream joined from two versions is a finding, and so is one in twelve or more that go on less than half as often as new ones are served.

--- a/soak/check.go
+++ b/soak/check.go
@@ -56,7 +56,7 @@
 func (h *History) Check(b Bounds) []Finding {
 	var list []Finding
 	checks := []func(Bounds, func(invariant, format string, args ...any)){
-		h.checkExecutions, h.checkResponses, h.checkArrivals, h.checkVersions, h.checkConfigReads, h.checkStops, h.checkDrains, h.checkLeaderTasks, h.checkRecovery, h.checkBlock, h.checkRetryBudget, h.checkUsage, h.checkLimits,
+		h.checkExecutions, h.checkResponses, h.checkArrivals, h.checkVersions, h.checkConfigReads, h.checkStops, h.checkDrains, h.checkLeaderTasks, h.checkRecovery, h.checkBlock, h.checkRetryBudget, h.checkUsage, h.checkLimits, h.checkTakeUps,
 	}
 	for _, check := range checks {
 		check(b, func(invariant, format string, args ...any) {
--- a/soak/history.go
+++ b/soak/history.go
@@ -15,6 +15,8 @@
 	AtMostOnce bool
 	// Stream is true for streams with a prompt, CrashingBlock if that has crashingBlock.
 	Stream, CrashingBlock bool
+	// PromptGroup is that of the prompt.
+	PromptGroup int
 	// Entry is the entry instance that the request was sent to, Incarnation the
 	// number of that instance's starts by then.
 	Entry       string
@@ -93,6 +95,10 @@
 	EntryFaults []Span
 	// LimitedTargets holds, for each time that a target named rate limits, what arrived there.
 	LimitedTargets [][]standin.LimitedArrival
+	// Serving holds, by software version, when decode engines ran that did not drain.
+	Serving []Span
+	// TakeUps are the streams that callers took up.
+	TakeUps []TakeUp
 	// TargetCrashes are the crashes under crashingBlock, until the next start of the target.
 	TargetCrashes []Span
 	// LastFaultEnd is when the last fault ended. RecoveryDue is the time from
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -77,6 +77,9 @@
 	// Requests is the number of requests sent, Served the number of those with a
 	// complete, correct response of status 200.
 	Requests, Served int
+	// TakeUps is the number of streams that callers took up, WentOn the number of those that
+	// went on to their end.
+	TakeUps, WentOn int
 	// Changes is the number of acknowledged configuration changes.
 	Changes int
 	Folder  string
@@ -88,7 +91,7 @@
 // if there are findings.
 func (r Report) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d faults, %d requests, %d served, %d changes acknowledged, %d findings", r.Seed, len(r.Faults), r.Requests, r.Served, r.Changes, len(r.Findings))
+	fmt.Fprintf(&b, "seed %d: %d faults, %d requests, %d served, %d streams taken up, %d of them went on, %d changes acknowledged, %d findings", r.Seed, len(r.Faults), r.Requests, r.Served, r.TakeUps, r.WentOn, r.Changes, len(r.Findings))
 	for _, f := range r.Findings {
 		fmt.Fprintf(&b, "\n  %s", f)
 	}
@@ -121,6 +124,7 @@
 	}
 	e.startTraffic(ctx)
 	e.limitTargets(ctx)
+	e.killAllEntries(ctx)
 	e.injectFaults(ctx, report.Faults)
 	e.awaitRecovery(ctx)
 	e.sleep(ctx, observationTime)
@@ -130,6 +134,12 @@
 	report.Findings = append(e.findings, h.Check(c.bounds())...)
 	report.Requests, report.Changes = len(h.Attempts), len(h.Acks)
 	report.Notes = e.network.notes()
+	report.TakeUps = len(h.TakeUps)
+	for _, u := range h.TakeUps {
+		if u.Whole {
+			report.WentOn++
+		}
+	}
 	for _, a := range h.Attempts {
 		if a.Response.Status == 200 && a.Response.Complete && a.Defect == "" {
 			report.Served++
--- a/soak/target.go
+++ b/soak/target.go
@@ -35,7 +35,11 @@
 	starts       int
 	startTime    time.Time
 	seq          uint64
-	draining     bool
+	// version is the software version that the incarnation announces, or empty.
+	version  string
+	draining bool
+	// endServing ends the record of the incarnation as one that serves.
+	endServing func()
 	// drainAcked is closed once the drain announcement was acknowledged.
 	drainAcked chan struct{}
 	stopped    bool
@@ -67,10 +71,15 @@
 		current.SetEngine(t.stage, t.env.actions)
 		t.armCrash(current)
 	}
+	version, written := softwareVersion(t.host, t.starts)
+	current.SetVersion(written)
+	startTime := time.Now()
+	current.SetStart(startTime.UnixMilli())
 	if err := current.Listen(t.env.at(t.host, targetPort+listenPortOffset).String()); err != nil {
 		return err
 	}
-	t.current, t.startTime, t.seq, t.draining, t.stopped, t.drainAcked = current, time.Now(), 0, false, false, make(chan struct{})
+	t.current, t.startTime, t.seq, t.draining, t.stopped, t.drainAcked = current, startTime, 0, false, false, make(chan struct{})
+	t.version, t.endServing = version, t.env.history.beginServing(t.stage, written)
 	t.incarnations = append(t.incarnations, current)
 	return nil
 }
@@ -80,6 +89,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.stopped = true
+	t.endServing()
 	t.current.Close()
 }
 
@@ -116,7 +126,7 @@
 	defer t.mutex.Unlock()
 	t.seq++
 	return standin.Heartbeat{
-		ID: t.current.ID(), Service: t.service, Address: t.address(), Domain: t.domain, Stage: t.current.Stage(), Slots: 16, Version: "v1",
+		ID: t.current.ID(), Service: t.service, Address: t.address(), Domain: t.domain, Stage: t.current.Stage(), Slots: 16, Version: t.version,
 		StartTime: t.startTime.UnixMilli(), Seq: t.seq, Draining: t.draining,
 	}, incarnation{incarnationName(t.current.ID(), t.starts), t.drainAcked}, !t.stopped
 }
@@ -135,6 +145,7 @@
 func (t *target) drain(ctx context.Context) {
 	t.mutex.Lock()
 	t.draining = true
+	t.endServing()
 	current, drainAcked, startTime := t.current, t.drainAcked, t.startTime
 	t.mutex.Unlock()
 	current.SetLeaving()
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -55,13 +55,19 @@
 		if !a.Response.Complete {
 			c.entry = nil
 		}
+		c.takeUp(ctx, a)
 		c.env.sleep(ctx, time.Duration(c.random.Int64N(int64(maxCallerPause))))
 	}
 }
 
-func (c *caller) send(ctx context.Context) Attempt {
+// newAttempt returns the next attempt, at the caller's entry instance.
+func (c *caller) newAttempt() Attempt {
 	c.sent++
-	a := Attempt{ID: fmt.Sprintf("r-%d-%d", c.number, c.sent), Entry: c.entry.name, Incarnation: c.entry.incarnation(), Started: time.Now()}
+	return Attempt{ID: fmt.Sprintf("r-%d-%d", c.number, c.sent), Entry: c.entry.name, Incarnation: c.entry.incarnation(), Started: time.Now()}
+}
+
+func (c *caller) send(ctx context.Context) Attempt {
+	a := c.newAttempt()
 	call := standin.Call{ID: a.ID, Host: hostName, Key: workspaceKey, Body: "a request", Wait: callerTimeout, PromptGroup: c.random.IntN(promptGroups)}
 	routes := []string{"/orders/", "/reads/", "/streams/", "/tales/"}
 	a.Route = routes[c.random.IntN(len(routes))]
@@ -76,6 +82,7 @@
 	if call.HasPrompt && c.env.hasCrashingBlock() && c.random.IntN(crashingInterval) == 0 {
 		call.Block, a.CrashingBlock = crashingBlock, true
 	}
+	a.PromptGroup = call.PromptGroup
 	a.Response = c.client.Do(ctx, c.env.at(c.entry.host, entryPort).String(), call)
 	if a.Response.Status == http.StatusOK && a.Response.Complete {
 		a.Defect = defectOf(a.Response, call)
