--- a/command/explain.go
+++ b/command/explain.go
@@ -51,6 +51,11 @@
 	Blocks        []string `json:"blocks"`
 	NotSent       bool     `json:"not_sent"`
 	Crashes       int      `json:"crashes"`
+	TargetVersion string   `json:"target_version"`
+	// Resumes is the request that began the stream, Origin what is known to have begun it.
+	Resumes string `json:"resumes"`
+	Origin  string `json:"origin"`
+	Reason  string `json:"reason"`
 }
 
 var errNoSuchRequest = errors.New("no log line names the request")
@@ -69,9 +74,10 @@
 		return fmt.Errorf("%w %s", errNoSuchRequest, request)
 	}
 	end := own[len(own)-1]
+	resumed := resumedRequest(own)
 	for _, l := range lines {
 		near := l.Time > end.Time-contextSeconds && l.Time < end.Time+contextSeconds
-		if l.Request == request || l.Request == "" && near && namesTargetOf(l, own) || l.isAboutBlock(end) {
+		if l.Request == request || l.Request != "" && l.Request == resumed || l.Request == "" && near && namesTargetOf(l, own) || l.isAboutBlock(end) {
 			fmt.Fprintf(out, "%+8.3f s  %-18s %s\n", l.Time-end.Time, l.Instance, l.describe())
 		}
 	}
@@ -136,6 +142,12 @@
 	if l.Target != "" {
 		add("target=%s", l.Target)
 	}
+	if l.TargetVersion != "" {
+		add("version=%s", l.TargetVersion)
+	}
+	if l.Message == "stream_taken_up" {
+		add("resumes=%s origin=%q reason=%s", l.Resumes, l.Origin, l.Reason)
+	}
 	if l.PrefillTarget != "" {
 		add("reader=%s read=%d ms", l.PrefillTarget, l.PrefillMs)
 	}
@@ -176,7 +188,7 @@
 			failed++
 		}
 	}
-	before := fmt.Sprintf("targets that declined it: %d, targets that failed during it: %d", declined, failed)
+	before := fmt.Sprintf("targets that declined it: %d, targets that failed during it: %d", declined, failed) + summarizeTakeUp(own)
 	switch {
 	case end.Message == "request_served":
 		return fmt.Sprintf("Served by %s after %d ms, with the first response part after %d ms (estimate: %d ms); %s.", end.Target, end.Ms, end.FirstMs, end.EstimateMs, before)
@@ -192,6 +204,10 @@
 		return fmt.Sprintf("Denied by configuration %d, which was in effect on the instance: %s.", end.Version, end.Code)
 	case end.Block != "":
 		return summarizeBlock(end, all)
+	case end.Code == "version_unknown":
+		return "Refused without execution: it is not known which software version began the stream" + summarizeTakeUp(own) + "."
+	case end.Code == "version_gone":
+		return "Refused without execution: no target runs the software version that began the stream" + summarizeTakeUp(own) + "."
 	case end.NotExecuted:
 		return fmt.Sprintf("Refused without execution (%s); %s.", end.Code, before)
 	}
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -24,6 +24,13 @@
 		require.Zero(t, Run([]string{"explain", "r-6-51", "testdata/quarantined.log"}, &out, &errOut), errOut.String())
 		goldie.New(t).Assert(t, "explain_quarantined", out.Bytes())
 	})
+	for name, id := range map[string]string{"taken_up": "r-9-89", "version_unknown": "r-1-61"} {
+		t.Run(name, func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			require.Zero(t, Run([]string{"explain", id, "testdata/taken_up.log"}, &out, &errOut), errOut.String())
+			goldie.New(t).Assert(t, "explain_"+name, out.Bytes())
+		})
+	}
 	var out, errOut bytes.Buffer
 	require.Equal(t, exitFailed, Run([]string{"explain", "nobody", "testdata/incident.log"}, &out, &errOut))
 	require.Contains(t, errOut.String(), "no log line names the request nobody")
--- a/origin/fleet_test.go
+++ b/origin/fleet_test.go
@@ -384,6 +384,27 @@
 	}
 }
 
+// TestStreamsGoOnAfterAControlInstanceEndedToo checks the same if a control instance ends together with
+// all entry instances: another one has a copy of its records.
+func TestStreamsGoOnAfterAControlInstanceEndedToo(t *testing.T) {
+	for lost := range 3 {
+		s := newSimulation(t, 9, 3, 3, 1)
+		s.release("v2")
+		for range 200 {
+			s.step(3, func() {})
+		}
+		s.wentOn, s.refused = 0, 0
+		s.step(0, func() {
+			s.controls[lost].start()
+			for _, e := range s.entries {
+				e.start()
+			}
+		})
+		require.Zero(t, s.joined)
+		require.Greater(t, s.wentOn, 4*s.refused, "control instance %d", lost)
+	}
+}
+
 // TestFullRestartLeavesNothingToGuess checks that after all instances have ended, while two
 // versions served, no stream goes on.
 func TestFullRestartLeavesNothingToGuess(t *testing.T) {
