Let a declined request go to another version before it is on record

A mutant showed it: with the restriction of streams to the version that began them taken out, all tests passed, because a request was kept at the version of its first target from the start, not only once that may be on record. While several versions serve, requests that a full target declined had fewer targets than they could have.

A caller that takes a stream up whose version has only targets of another stage, or at an instance that knows no targets yet, is told to come back (no_target) instead of being told that the version is gone.

TestDeclinedRequestGoesToAnotherVersion failed before, and TestTakenUpStreamOfAVersionThatIsBackSoon.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -67,10 +67,11 @@
 func (c *call) fleet() *route.Fleet {
 	o := c.origin
 	if o == (origin.Origin{}) {
-		o, _ = c.recorded.Bound()
-	}
-	if o == (origin.Origin{}) {
-		return c.server.deps.Fleets.Fleet(c.service.Name)
+		bound, ok := c.recorded.Bound()
+		if !ok {
+			return c.server.deps.Fleets.Fleet(c.service.Name)
+		}
+		o = bound
 	}
 	return c.server.deps.Fleets.Continuing(o, time.Now())
 }
@@ -99,6 +100,9 @@
 	}
 	c.service, c.origin = service, o
 	if len(c.fleet().DecodeTargets()) == 0 {
+		if c.server.deps.Fleets.Runs(o) {
+			return c.noTarget()
+		}
 		return versionGone()
 	}
 	return nil
@@ -120,27 +124,19 @@
 // bind restricts the stream to the software of the target, whose first event is about to be
 // forwarded.
 func (c *call) bind(t *route.Target) error {
-	certain := c.server.deps.Fleets.certainSoftware(t)
 	if c.origin != (origin.Origin{}) {
-		if !certain || c.origin.Software != t.Software() {
+		if c.origin.Software != t.Software() || !c.server.deps.Fleets.certainSoftware(t) {
 			return errOtherSoftware
 		}
 		return nil
 	}
 	c.origin = origin.Origin{Service: c.service.Name, Software: t.Software()}
 	c.began = t
-	if !certain {
-		c.recorded.Dispute()
-	}
 	return nil
 }
 
 // mayContinue reports whether it is certain what began the stream. The target that began it may have
 // turned out to have started again before.
 func (c *call) mayContinue() bool {
-	if c.began == nil || c.server.deps.Fleets.certainSoftware(c.began) {
-		return true
-	}
-	c.recorded.Dispute()
-	return false
+	return c.began == nil || c.server.deps.Fleets.certainSoftware(c.began)
 }
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"auburnscale/clock"
 	"auburnscale/origin"
 	"auburnscale/peer"
 	"auburnscale/platform/standin"
+	"auburnscale/roster"
 )
 
 // announceVersion announces the target as one of the version, in a start that began then.
@@ -104,6 +107,28 @@
 	}
 }
 
+// TestTakenUpStreamOfAVersionThatIsBackSoon checks that a caller is told to come back if the only targets
+// of the version are at another stage now, or if this instance knows no targets yet.
+func TestTakenUpStreamOfAVersionThatIsBackSoon(t *testing.T) {
+	for name, prepare := range map[string]func(*fixture){
+		"another stage": func(f *fixture) {
+			f.announceRow(0, func(row *peer.TargetRow) { row.Stage = peer.TargetRow_PREFILL })
+			f.announceVersion(1, "v2", 2)
+		},
+		"no targets known": func(f *fixture) {
+			f.fleets.Refresh(roster.New(clock.Now, time.Hour).Snapshot(), []string{"desk"}, time.Now())
+		},
+	} {
+		f := newFixture(t, 2)
+		f.recordOrigin("r", "desk", "v1")
+		prepare(f)
+		response := f.takeUp("r")
+		require.Equal(t, http.StatusServiceUnavailable, response.status, name)
+		require.Contains(t, response.body, "no_target", name)
+		require.NotEmpty(t, response.header.Get("Retry-After"), name)
+	}
+}
+
 // TestTakenUpStreamGoesOnAtADrainingTarget checks that the only target of a version gets the rest of
 // its streams for a while after it announced that it drains, or stated that it leaves, and no new ones.
 func TestTakenUpStreamGoesOnAtADrainingTarget(t *testing.T) {
@@ -160,6 +185,50 @@
 	require.Contains(t, response.body, "version_unknown")
 }
 
+// TestStreamOfALaterStartIsNotContinued checks the same within a response that breaks off after the
+// later start has become known.
+func TestStreamOfALaterStartIsNotContinued(t *testing.T) {
+	f := newFixture(t, 2)
+	f.announceVersion(0, "v1", 2)
+	f.announceVersion(1, "v1", 2)
+	for i, target := range f.targets {
+		target.Script(func(t *standin.Target, w http.ResponseWriter, r *http.Request) bool {
+			f.announceRow(i, func(row *peer.TargetRow) { row.SoftwareVersion, row.BornMs = "v2", 3 })
+			return standin.BreakFresh(1)(t, w, r)
+		})
+	}
+	response, id := f.send(http.MethodPost, "/resumable/1", streamHeaders...)
+	require.Error(t, response.err)
+	require.Equal(t, 1, f.runs(id))
+}
+
+// TestDeclinedRequestGoesToAnotherVersion checks that a request that no target has begun goes to any
+// version, until control instances may have on record where it was sent.
+func TestDeclinedRequestGoesToAnotherVersion(t *testing.T) {
+	for _, reported := range []bool{false, true} {
+		f := newFixture(t, 2)
+		f.announceVersion(0, "v1", 2)
+		f.announceVersion(1, "v2", 2)
+		var declined atomic.Int64
+		for _, target := range f.targets {
+			target.Script(func(t *standin.Target, w http.ResponseWriter, r *http.Request) bool {
+				if reported {
+					f.origins.Report(false)
+				}
+				return declined.Add(1) == 1 && standin.Refuse(t, w, r)
+			})
+		}
+		response, _ := f.send(http.MethodPost, "/resumable/1", streamHeaders...)
+		if reported {
+			require.Equal(t, http.StatusServiceUnavailable, response.status)
+			require.EqualValues(t, 1, declined.Load())
+			continue
+		}
+		require.NoError(t, standin.CheckStream(response.body, 3))
+		require.EqualValues(t, 2, declined.Load())
+	}
+}
+
 // TestRestartedTargetContinuesNothing guards against streams that go on at a target that has started
 // again under its id, with another version, before this instance learns of it.
 func TestRestartedTargetContinuesNothing(t *testing.T) {
--- a/gateway/continuing_targets.go
+++ b/gateway/continuing_targets.go
@@ -44,6 +44,24 @@
 	return fleet.WithDecodeTargets(slices.Concat(candidates...))
 }
 
+// Runs reports whether any target of the service that this instance knows of may soon continue a stream of
+// the origin, whatever its stage. An instance that knows no target of the service cannot tell.
+func (f *Fleets) Runs(o origin.Origin) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	known := false
+	for _, k := range f.targets {
+		if k.row.Service != o.Service {
+			continue
+		}
+		known = true
+		if k.row.State == peer.TargetRow_READY && k.target.Software() == o.Software {
+			return true
+		}
+	}
+	return !known
+}
+
 func withSoftware(targets []*route.Target, software string) (list []*route.Target) {
 	for _, t := range targets {
 		if t.Decodes() && t.Software() == software {
--- a/origin/journal.go
+++ b/origin/journal.go
@@ -138,7 +138,10 @@
 	s.journal.mutex.Lock()
 	defer s.journal.mutex.Unlock()
 	r := s.record
-	return r.origin, r.exposed && r.owner == s && r.origin != disputed
+	if !r.exposed || r.owner != s || r.origin == disputed {
+		return Origin{}, false
+	}
+	return r.origin, true
 }
 
 // Broken records that the stream broke off, so that its caller may take it up at another instance
@@ -161,16 +164,6 @@
 // Urgent returns a channel that receives when a report must not wait.
 func (j *Journal) Urgent() <-chan struct{} { return j.urgent }
 
-// Dispute records that other software than what was recorded may have begun the stream.
-func (s *Stream) Dispute() {
-	if s == nil {
-		return
-	}
-	s.journal.mutex.Lock()
-	defer s.journal.mutex.Unlock()
-	s.journal.change(s.record, disputed)
-}
-
 // change sets the origin of a record. j.mutex must be held.
 func (j *Journal) change(r *record, o Origin) {
 	if r.known && r.origin == o {
