Ask a target for its start before it begins a stream after a failed connection

Nothing told the instances that there had been another start.

Cause: the origin of a stream is what the instance believes of the target when it sends the request, and a target that crashed may be back.

Change: a target to which a connection failed states its start before it begins a stream that may go on, until it has stated the known one.

Left: a target that started again without a failed connection of this instance and ends before a heartbeat of it is known (postmortem).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,7 +10,6 @@
 	"auburnscale/catalog"
 	"auburnscale/clock"
 	"auburnscale/exchange"
-	"auburnscale/origin"
 	"auburnscale/route"
 )
 
@@ -62,7 +61,7 @@
 	if !c.permitted(p.DecodeTarget) || !c.maySend(p.DecodeTarget) {
 		return false, nil
 	}
-	if c.origin != (origin.Origin{}) && !c.sameStart(p.DecodeTarget) {
+	if c.needsStart(p.DecodeTarget) && !c.sameStart(p.DecodeTarget) {
 		return false, nil
 	}
 	prefillTokens, source := p.PrefillTokens, c.kvSource
@@ -107,6 +106,9 @@
 	if exchange.NotSent(err) {
 		t.RecordDecline(time.Now())
 	}
+	if exchange.NotSent(err) || exchange.ConnectionEnded(err) {
+		t.SetDoubtful(true)
+	}
 	if exchange.ConnectionEnded(err) || errors.Is(err, errIncompleteEvent) {
 		c.server.deps.Blocks.Crashed(t.Name(), strconv.FormatInt(t.Incarnation(), 10), c.suspects)
 	}
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -37,6 +37,13 @@
 	Incarnation(ctx context.Context, target, address string) (int64, error)
 }
 
+// needsStart reports whether the target must be asked for its start before it gets the request: if it
+// is to continue a stream, or to begin one after a connection to it failed. A start that the target's
+// heartbeats do not tell of yet may run another version.
+func (c *call) needsStart(t *route.Target) bool {
+	return c.origin != (origin.Origin{}) || c.resumable() && t.Doubtful()
+}
+
 // sameStart reports whether the target still runs the start that this instance knows of. One that
 // started again under its id may run another version, and would continue the stream all the same. Plain
 // services state no start, and neither do targets whose heartbeats name none.
@@ -56,6 +63,7 @@
 		c.server.logOtherStart(c, t, running)
 		return false
 	}
+	t.SetDoubtful(false)
 	return true
 }
 
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -296,6 +296,32 @@
 	}
 }
 
+// TestUnheardStartBeginsNoStream guards against streams that are on record with the version of an earlier
+// start: the target crashed, started again under its id with another version, and began a stream
+// before any heartbeat of that start.
+func TestUnheardStartBeginsNoStream(t *testing.T) {
+	f := newFixtureWith(t, 1, fixtureOptions{engines: true})
+	f.announceVersion(0, "v1", 2)
+	f.targets[0].Script(standin.Reset)
+	_, first := f.send(http.MethodPost, "/streams/1", streamHeaders...)
+	require.Equal(t, 1, f.runs(first))
+	f.targets[0].SetVersion("v2")
+	f.targets[0].SetStart(3)
+	response, id := f.send(http.MethodPost, "/resumable/1", streamHeaders...)
+	require.Equal(t, http.StatusServiceUnavailable, response.status)
+	require.Zero(t, f.runs(id))
+
+	f.announceVersion(0, "v2", 3)
+	response, id = f.send(http.MethodPost, "/resumable/1", streamHeaders...)
+	require.NoError(t, standin.CheckStream(response.body, 3))
+	f.fleets.Fleet("desk").Targets()[0].SetDoubtful(true)
+	response, _ = f.send(http.MethodPost, "/resumable/1", streamHeaders...)
+	require.NoError(t, standin.CheckStream(response.body, 3), "a target that states the known start is used")
+	require.False(t, f.fleets.Fleet("desk").Targets()[0].Doubtful())
+	o, _ := f.origins.Find(origin.Hash("guild", id))
+	require.Equal(t, origin.Software("v2", "", 0), o.Software)
+}
+
 // TestUnknownVersionIsRefusedAtOnce checks that the refusal does not wait for the deadline.
 func TestUnknownVersionIsRefusedAtOnce(t *testing.T) {
 	f := newFixture(t, 2)
