--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -16,6 +16,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -582,4 +583,5 @@
         print("the case could not run: %r" % e)
     if deployment:
         deployment.close()
+    sys.stdout.flush()
     os._exit(code)
