Log which text of a response cannot be encoded, and tell unreadable from silent

Nothing was logged by the control instance that failed to respond, and failed polls were counted alike for a partition and for a response that cannot be encoded.

No behaviour changes.

--- a/peer/doc.go
+++ b/peer/doc.go
@@ -2,7 +2,8 @@
 // each other: the messages that they exchange and store, and the twirp client and
 // server generated from peer.proto.
 //
-// It contains only types. It must not import any other package of this module, so that
+// It contains the types, and Encodable, which finds and leaves out what cannot be encoded.
+// It must not import any other package of this module, so that
 // packages without I/O (quorum, control) can use the messages without depending on a
 // transport.
 //
--- a/serve/control.go
+++ b/serve/control.go
@@ -234,7 +234,8 @@
 	if err != nil {
 		return err
 	}
-	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects, c.issuer).(*peerServer), c}), nil)
+	server := &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects, c.issuer).(*peerServer), c}
+	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, server, transport.ReportUnencodable(c.logUnencodable)), nil)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
@@ -284,6 +285,15 @@
 	}
 }
 
+// logUnencodable logs that a response to another instance holds text that cannot be encoded.
+func (c *Control) logUnencodable(method string, fields []string) {
+	c.metrics.Tagged(map[string]string{"method": method}).Counter("unencodable_responses").Inc(1)
+	c.logger.Log(event.TextUnencodable, zap.String("method", method), zap.Strings("fields", fields[:min(len(fields), maxLoggedFields)]), zap.Int("count", len(fields)))
+}
+
+// maxLoggedFields bounds the fields of a message that are logged.
+const maxLoggedFields = 8
+
 func (c *Control) runLinkServer() { c.failures <- c.linkServer.Serve() }
 func (c *Control) runOperators()  { c.failures <- c.operatorServer.Serve(c.listener) }
 
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -321,6 +321,9 @@
 	e.metrics.Gauge("configuration_version").Update(float64(configuration.Version()))
 	e.metrics.Gauge("blocks_quarantined").Update(float64(e.blocks.Quarantined()))
 	e.metrics.Gauge("targets_limited").Update(float64(e.gate.Limited()))
+	silent, unreadable := e.watchClient.Failing()
+	e.metrics.Gauge("control_silent").Update(float64(silent))
+	e.metrics.Gauge("control_unreadable").Update(float64(unreadable))
 	e.metrics.Gauge("requests_open").Update(float64(e.gateway.OpenRequests()))
 	for _, name := range names {
 		e.metrics.Tagged(map[string]string{"service": name}).Gauge("targets_usable").Update(float64(len(e.fleets.Fleet(name).Targets())))
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -118,9 +118,9 @@
 }
 
 // Handler returns a handler that serves the peer protocol to clients that send the
-// key, or to all clients if the key is empty.
-func Handler(key string, server peer.Peer) http.Handler {
-	peerServer := peer.NewPeerServer(server)
+// key, or to all clients if the key is empty. The interceptors see each request and its response.
+func Handler(key string, server peer.Peer, interceptors ...twirp.Interceptor) http.Handler {
+	peerServer := peer.NewPeerServer(server, twirp.WithServerInterceptors(interceptors...))
 	want := []byte(authorizationKind + key)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		got := []byte(r.Header.Get(authorizationName))
--- a/watch/client.go
+++ b/watch/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
@@ -68,6 +70,8 @@
 	domains map[string]string
 	// servers holds the incarnation of each control instance that responded, by its address.
 	servers map[string]string
+	// failing holds, by address, the control instances whose last poll failed, and whether they responded.
+	failing map[string]bool
 	// source is the control instance that configuration documents come from.
 	source documentSource
 }
@@ -95,7 +99,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		self: self, dialer: dialer, sink: sink, logger: logger, ctx: ctx, cancel: cancel,
-		loops: map[string]*pollLoop{}, seeds: map[string]bool{}, advertised: map[string]bool{}, domains: map[string]string{}, servers: map[string]string{}, source: documentSource{timeout: sourceTimeout},
+		loops: map[string]*pollLoop{}, seeds: map[string]bool{}, advertised: map[string]bool{}, domains: map[string]string{}, servers: map[string]string{}, failing: map[string]bool{}, source: documentSource{timeout: sourceTimeout},
 	}
 }
 
@@ -177,6 +181,36 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.domains[address], c.servers[address] = response.ResponderDomain, response.Server
+	delete(c.failing, address)
+}
+
+// recordFailure records how the last poll of a control instance failed.
+func (c *Client) recordFailure(address string, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.failing[address] = responded(err)
+}
+
+// Failing returns the number of control instances whose last poll got no response, and the number of
+// those that responded with an error or with a response that cannot be read.
+func (c *Client) Failing() (silent, unreadable int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, responded := range c.failing {
+		if responded {
+			unreadable++
+		} else {
+			silent++
+		}
+	}
+	return silent, unreadable
+}
+
+// responded reports whether a failed call got a response: an error of the other instance, or a
+// message that cannot be decoded.
+func responded(err error) bool {
+	var network *url.Error
+	return err != nil && !errors.As(err, &network) && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled)
 }
 
 // ControlReplicas returns the members of the control group as last listed by a
@@ -226,6 +260,7 @@
 	delete(c.loops, l.address)
 	delete(c.domains, l.address)
 	delete(c.servers, l.address)
+	delete(c.failing, l.address)
 	return true
 }
 
@@ -266,8 +301,9 @@
 		l.client.releaseSource(l)
 		if !l.unreachable && l.client.ctx.Err() == nil {
 			l.unreachable = true
-			l.client.logger.Log(event.ControlLost, zap.String("address", l.address), zap.Error(err))
+			l.client.logger.Log(event.ControlLost, zap.String("address", l.address), zap.Bool("responded", responded(err)), zap.Error(err))
 		}
+		l.client.recordFailure(l.address, err)
 		return 0, false
 	}
 	if l.unreachable {
