--- /dev/null
+++ b/serve/poisoned_state_test.go
@@ -0,0 +1,98 @@
+package serve
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"auburnscale/peer"
+	"auburnscale/platform/standin"
+)
+
+// newServingFleet starts three control instances, an entry instance and a target that serves.
+func newServingFleet(t *testing.T) (*testFleet, *standin.Target) {
+	f := newTestFleet(t)
+	f.startEntry(10)
+	for host := 1; host <= 3; host++ {
+		f.startControl(host)
+	}
+	f.replace(1, 1, "/orders/")
+	target := standin.NewTarget("e1")
+	require.NoError(t, target.Listen(f.address(20, 8000)))
+	t.Cleanup(target.Close)
+	f.heartbeat(1, target, "ready", 1)
+	f.awaitServed(10, "/orders/")
+	return f, target
+}
+
+// Guards against calls of another writer, with an id that is not UTF-8, that keep every control instance
+// from responding to the polls of all others: changes and leaves then reached no entry instance.
+func TestUnreadableIDsStopNoPolls(t *testing.T) {
+	f, target := newServingFleet(t)
+	body := fmt.Sprintf(`{"service":"desk","addr":%q,"zone":"d1","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1,"born":1000}`, f.address(21, 8000))
+	for host := 1; host <= 3; host++ {
+		for _, path := range []string{"/Instances.Heartbeat/i-%ff", "/Instances.Deregister/%c3%28"} {
+			status, _, err := f.call(http.MethodPost, f.address(host, fleetOperatorPort), path, body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusBadRequest, status, path)
+		}
+	}
+	f.replace(2, 2, "/other/")
+	f.awaitServed(10, "/other/")
+	f.heartbeat(3, target, "draining", 2)
+	f.await("the draining target gets no request", func() bool {
+		status, _ := f.order(10, "/other/", "after")
+		return status == http.StatusServiceUnavailable
+	})
+}
+
+// Guards against one row that cannot be encoded, in the state of every control instance, that costs whole
+// responses to polls.
+func TestPoisonedRowCostsOnlyItself(t *testing.T) {
+	f, target := newServingFleet(t)
+	for host := 1; host <= 3; host++ {
+		control := f.running[fmt.Sprint("control", host)].process.(*Control)
+		control.roster.Merge([]*peer.TargetRow{{Id: "i-\xff", Service: "desk", Address: f.address(21, 8000), Domain: "d1", Slots: 1, State: peer.TargetRow_READY, BornMs: 1, Seq: 1}})
+	}
+	f.replace(2, 2, "/other/")
+	f.awaitServed(10, "/other/")
+	f.heartbeat(3, target, "draining", 2)
+	f.await("the draining target gets no request", func() bool {
+		status, _ := f.order(10, "/other/", "after")
+		return status == http.StatusServiceUnavailable
+	})
+}
+
+// Guards against a leave that is lost with the control instance that acknowledged it, because no other
+// instance had polled it in the meantime.
+func TestAcknowledgedLeaveOutlivesItsInstance(t *testing.T) {
+	for _, leave := range []struct{ name, path, body string }{
+		{"deregistration", "/Instances.Deregister/e1", ""},
+		{"draining", "/Instances.Heartbeat/e1", `{"service":"desk","addr":%q,"zone":"d1","version":"v1","slots":8,"state":"draining","coldLeftMs":0,"seq":2,"born":1000}`},
+	} {
+		t.Run(leave.name, func(t *testing.T) {
+			f, target := newServingFleet(t)
+			// Nobody can poll this control instance: it listens for others where they do not look.
+			s := f.settings("control4", 4)
+			s.Fleet.OperatorAddress, s.Fleet.DataFolder = f.address(4, fleetOperatorPort), f.dir(4)
+			s.Fleet.PeerListenAddress = f.address(4, fleetPeerPort+100)
+			f.run("control4", s)
+			hidden := f.running["control4"].process.(*Control)
+			f.await("the control instance knows the target", func() bool { return hidden.roster.Snapshot().Target("e1") != nil })
+			body := leave.body
+			if body != "" {
+				body = fmt.Sprintf(body, target.Address())
+			}
+			status, text, err := f.call(http.MethodPost, f.address(4, fleetOperatorPort), leave.path, body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status, text)
+			f.stop("control4")
+			f.await("the target that left gets no request", func() bool {
+				status, _ := f.order(10, "/orders/", "after")
+				return status == http.StatusServiceUnavailable
+			})
+		})
+	}
+}
