One text that is not UTF-8 costs itself, not every response to a poll

Cause: protobuf cannot encode a string that is not UTF-8. The id in the path of a heartbeat or deregistration was taken as it came (i-%ff), the row stayed in the memory of the control instance, and each response to a poll held it.

At the boundary: heartbeats and deregistrations are refused with the field and the reason if a field is missing, of another type, out of range or not readable; addresses have one form. Behind it: the roster refuses rows that are not valid, also from other instances, and logs them; the server side of the peer protocol leaves out of a response what cannot be encoded and reports it; a request with such text fails unless it is in a list. A full roster forgets the deregistered targets first.

--- a/roster/merge.go
+++ b/roster/merge.go
@@ -134,7 +134,7 @@
 
 // insert replaces the row of the id, or adds it if there is room.
 func (r *Roster) insert(row *peer.TargetRow, lastContact time.Duration) {
-	if len(r.entries) >= maxRows && r.entries[row.Id] == nil {
+	if r.entries[row.Id] == nil && r.full() {
 		return
 	}
 	next := proto.Clone(row).(*peer.TargetRow)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -94,11 +94,14 @@
 }
 
 // UpdateTarget merges a heartbeat or deregistration that this instance just received
-// from a target. It returns false if the row is outdated. A deregistration is not
+// from a target. It returns false if the row is outdated or Check refuses it. A deregistration is not
 // outdated by its sequence number, because it is acknowledged and must then hold.
 func (r *Roster) UpdateTarget(row *peer.TargetRow) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.checkUpdate(row) != nil {
+		return false
+	}
 	known := r.entries[row.Id]
 	if known != nil && row.BornMs == 0 {
 		row.BornMs = known.row.BornMs
@@ -112,18 +115,24 @@
 	return true
 }
 
-// Merge merges rows received from another instance.
-func (r *Roster) Merge(rows []*peer.TargetRow) {
+// Merge merges rows received from another instance. It leaves out rows that are not valid and returns
+// the reasons.
+func (r *Roster) Merge(rows []*peer.TargetRow) (refused []error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	before := r.revision
 	for _, row := range rows {
+		if err := r.checkRow(row); err != nil {
+			refused = append(refused, err)
+			continue
+		}
 		r.confirmLeaving(row)
 		r.merge(row, time.Duration(row.AgeMs)*time.Millisecond)
 		r.mergeSwitching(row)
 		r.mergeDraining(row)
 	}
 	r.publish(before)
+	return refused
 }
 
 // HeardSince reports whether the incarnation of the target, which is its start in Unix
--- a/serve/control.go
+++ b/serve/control.go
@@ -91,7 +91,9 @@
 	linkServer           *transport.Server
 	operatorServer       *http.Server
 	// listener is the listener of operatorServer.
-	listener      net.Listener
+	listener net.Listener
+	// rowLog logs the rows of targets that other instances send and this one cannot use.
+	rowLog        *rowLog
 	metrics       tally.Scope
 	metricsServer *metricsServer
 	failures      chan error
@@ -113,9 +115,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c.build(identity)
 	scope, scrape := newMetricsScope(s.Instance)
-	c.metrics = scope
+	c.metrics, c.rowLog = scope, newRowLog(scope, logger)
+	c.build(identity)
 	if err := c.listen(); err != nil {
 		return nil, err
 	}
@@ -235,7 +237,7 @@
 		return err
 	}
 	server := &controlPeerServer{NewVoterServer(c.voter, nil, c.suspects, c.issuer).(*peerServer), c}
-	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, server, transport.ReportUnencodable(c.logUnencodable)), nil)
+	c.linkServer, err = transport.Listen(peerListenAddress(f), transport.Handler(key, server, logUnencodable(c.metrics, c.logger)), nil)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
@@ -285,15 +287,6 @@
 	}
 }
 
-// logUnencodable logs that a response to another instance holds text that cannot be encoded.
-func (c *Control) logUnencodable(method string, fields []string) {
-	c.metrics.Tagged(map[string]string{"method": method}).Counter("unencodable_responses").Inc(1)
-	c.logger.Log(event.TextUnencodable, zap.String("method", method), zap.Strings("fields", fields[:min(len(fields), maxLoggedFields)]), zap.Int("count", len(fields)))
-}
-
-// maxLoggedFields bounds the fields of a message that are logged.
-const maxLoggedFields = 8
-
 func (c *Control) runLinkServer() { c.failures <- c.linkServer.Serve() }
 func (c *Control) runOperators()  { c.failures <- c.operatorServer.Serve(c.listener) }
 
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -21,10 +21,22 @@
 // target that starts right after the deregistration is not ended by it.
 const deregistrationMargin = 500 * time.Millisecond
 
-// UpdateTarget merges a target's heartbeat or deregistration into the roster. It
-// returns false if the message is outdated. A deregistration that names no start time
-// ends all incarnations of the target that have started so far.
-func (c *Control) UpdateTarget(row *peer.TargetRow) bool {
+// UpdateTarget merges a target's heartbeat or deregistration into the roster. It returns an error that
+// wraps [platform.ErrInvalid] if no target can have sent the call. A deregistration that names no start
+// time ends all incarnations of the target that have started so far.
+func (c *Control) UpdateTarget(_ context.Context, row *peer.TargetRow) error {
+	if err := c.roster.Check(row); err != nil {
+		c.logger.Log(event.TargetRefused, zap.String("target", peer.Clip(row.Id, peer.MaxNameBytes)), zap.Error(err))
+		c.metrics.Counter("target_calls_refused").Inc(1)
+		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
+	}
+	c.mergeTarget(row)
+	return nil
+}
+
+// mergeTarget merges a row that a target sent, and logs what it changed. It returns false if the row is
+// outdated.
+func (c *Control) mergeTarget(row *peer.TargetRow) bool {
 	if row.State == peer.TargetRow_GONE && row.BornMs == 0 {
 		row.EndedMs = (c.watchServer.MedianTime() - deregistrationMargin).Milliseconds()
 	}
@@ -95,7 +107,7 @@
 // control instance knows. Control instances receive configurations only through the replicated
 // log.
 func (c *Control) HandleResponse(response *peer.WatchResponse) {
-	c.roster.Merge(response.Rows)
+	c.rowLog.log(c.roster.Merge(response.Rows))
 	c.watchServer.MergeEnded(response.Ended)
 }
 
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -89,7 +89,9 @@
 	// confirmedAt is a lower bound, on clock.Now in nanoseconds, of the time at
 	// which a leader that holds its lease last made a response that confirmed this
 	// instance's configuration as the newest.
-	confirmedAt   atomic.Int64
+	confirmedAt atomic.Int64
+	// rowLog logs the rows of targets that other instances send and this one cannot use.
+	rowLog        *rowLog
 	metrics       tally.Scope
 	metricsServer *metricsServer
 	documents     chan *peer.ReplaceDocument
@@ -113,7 +115,7 @@
 		documents: make(chan *peer.ReplaceDocument, 16), failures: make(chan error, 4), stopped: make(chan struct{}),
 	}
 	scope, scrape := newMetricsScope(s.Instance)
-	e.metrics = scope
+	e.metrics, e.rowLog = scope, newRowLog(scope, logger)
 	if e.metricsServer, err = serveMetrics(f.MetricsAddress, scrape, logger); err != nil {
 		return nil, err
 	}
@@ -264,7 +266,7 @@
 	if response.Document != nil {
 		e.documents <- response.Document
 	}
-	e.roster.Merge(response.Rows)
+	e.rowLog.log(e.roster.Merge(response.Rows))
 	e.fleets.SetEntries(int(response.Entries))
 	e.budget.SetEntries(int(response.Entries))
 	e.startedRequests.SetTime(response.WallMs)
--- a/serve/process.go
+++ b/serve/process.go
@@ -28,6 +28,7 @@
 	"strings"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"auburnscale/admit"
@@ -172,7 +173,7 @@
 func (p *Process) listenForPeers() error {
 	server := &peerServer{voter: p.voter, table: p.table, suspects: p.suspects, issuer: p.issuer, tokens: p.tokens, counterHolder: p.recorder}
 	var err error
-	p.linkServer, err = transport.Listen(p.settings.Listen.Peer, transport.Handler(p.peerKey, server), p.certificates)
+	p.linkServer, err = transport.Listen(p.settings.Listen.Peer, transport.Handler(p.peerKey, server, logUnencodable(tally.NoopScope, p.logger)), p.certificates)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
--- a/slope/control.go
+++ b/slope/control.go
@@ -87,7 +87,7 @@
 	}, folder, senders, event.Nop())
 	suspects := quarantine.NewBoard(fmt.Sprint("voter", id), quarantine.NewEvidence(clock.Now, nil, event.Nop()))
 	table := member.NewTable(v, suspects, clock.Now, heartbeatInterval, freshness)
-	server, err := transport.Listen(g.addresses[id], transport.Handler(linkKey, serve.NewVoterServer(v, table, suspects, nil)), nil)
+	server, err := transport.Listen(g.addresses[id], transport.Handler(linkKey, serve.NewVoterServer(v, table, suspects, nil), func(string, []string) {}), nil)
 	if err != nil {
 		return err
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -9,7 +9,7 @@
 //
 //	client := transport.NewClient(localIP, key, certificates)
 //	response, err := client.Peer("10.0.0.2:7101").Sync(ctx, request)
-//	handler := transport.Handler(key, server)
+//	handler := transport.Handler(key, server, report)
 package transport
 
 import (
@@ -114,13 +114,14 @@
 			return ctx, nil
 		},
 	})
-	return peer.NewPeerProtobufClient(scheme+address, c.http, authorize)
+	return peer.NewPeerProtobufClient(scheme+address, c.http, authorize, twirp.WithClientInterceptors(encodableRequests))
 }
 
 // Handler returns a handler that serves the peer protocol to clients that send the
-// key, or to all clients if the key is empty. The interceptors see each request and its response.
-func Handler(key string, server peer.Peer, interceptors ...twirp.Interceptor) http.Handler {
-	peerServer := peer.NewPeerServer(server, twirp.WithServerInterceptors(interceptors...))
+// key, or to all clients if the key is empty. What cannot be encoded of a response is left out and
+// reported.
+func Handler(key string, server peer.Peer, report TextReport) http.Handler {
+	peerServer := peer.NewPeerServer(server, twirp.WithServerInterceptors(encodableResponses(report)))
 	want := []byte(authorizationKind + key)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		got := []byte(r.Header.Get(authorizationName))
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -67,7 +67,7 @@
 }
 
 func serveHold(t *testing.T, certificates *certificate.Store) string {
-	server, err := Listen("127.0.0.1:0", Handler("the key", holdServer{}), certificates)
+	server, err := Listen("127.0.0.1:0", Handler("the key", holdServer{}, func(string, []string) {}), certificates)
 	require.NoError(t, err)
 	go func() { _ = server.Serve() }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -106,3 +106,39 @@
 	require.Eventually(t, func() bool { return callHold(address, "the key", fresh) == nil }, time.Minute, 100*time.Millisecond)
 	require.NoError(t, callHold(address, "the key", certificates), "the old client has reloaded them too")
 }
+
+// proposeRecorder implements ReportSuspects and Propose of the peer protocol and keeps the requests.
+type proposeRecorder struct {
+	peer.Peer
+	reports  chan *peer.SuspectReport
+	proposed chan *peer.ProposeRequest
+}
+
+// ReportSuspects implements [peer.Peer].
+func (r proposeRecorder) ReportSuspects(_ context.Context, report *peer.SuspectReport) (*peer.SuspectList, error) {
+	r.reports <- report
+	return &peer.SuspectList{}, nil
+}
+
+// Propose implements [peer.Peer].
+func (r proposeRecorder) Propose(_ context.Context, request *peer.ProposeRequest) (*peer.ProposeResponse, error) {
+	r.proposed <- request
+	return &peer.ProposeResponse{}, nil
+}
+
+// TestUnencodableRequests sends a list with an element that cannot be encoded, which is left out, and a
+// command, which fails: without its text it would be another command.
+func TestUnencodableRequests(t *testing.T) {
+	r := proposeRecorder{reports: make(chan *peer.SuspectReport, 1), proposed: make(chan *peer.ProposeRequest, 1)}
+	server, err := Listen("127.0.0.1:0", Handler("", r, func(string, []string) {}), nil)
+	require.NoError(t, err)
+	go func() { _ = server.Serve() }()
+	t.Cleanup(func() { _ = server.Close() })
+	client := NewClient(netip.MustParseAddr("127.0.0.1"), "", nil).Peer(server.listener.Addr().String())
+	_, err = client.ReportSuspects(context.Background(), &peer.SuspectReport{Crashed: []*peer.CrashedRequest{{Target: "a"}, {Target: "\xff"}, {Target: "b"}}})
+	require.NoError(t, err)
+	require.Len(t, (<-r.reports).Crashed, 2)
+	_, err = client.Propose(context.Background(), &peer.ProposeRequest{Command: &peer.Command{Body: &peer.Command_Withdraw{Withdraw: &peer.WithdrawKey{KeyId: "k\xff"}}}})
+	require.ErrorContains(t, err, "command.withdraw.key_id")
+	require.Empty(t, r.proposed)
+}
--- a/watch/client_test.go
+++ b/watch/client_test.go
@@ -4,11 +4,12 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"go.uber.org/zap"
+	"github.com/twitchtv/twirp"
 
 	"auburnscale/event"
 	"auburnscale/peer"
@@ -26,46 +27,67 @@
 	return w.watch()
 }
 
-// discardSink sends empty requests and drops the responses.
-type discardSink struct{}
+// recordingSink sends empty requests and keeps the responses.
+type recordingSink struct{ responses chan *peer.WatchResponse }
 
 // Request implements [Sink].
-func (discardSink) Request() *peer.WatchRequest { return &peer.WatchRequest{Incarnation: "e1"} }
+func (recordingSink) Request() *peer.WatchRequest { return &peer.WatchRequest{Incarnation: "e1"} }
 
 // HandleResponse implements [Sink].
-func (discardSink) HandleResponse(*peer.WatchResponse) {}
+func (s recordingSink) HandleResponse(response *peer.WatchResponse) {
+	select {
+	case s.responses <- response:
+	default:
+	}
+}
+
+func serveWatch(t *testing.T, report transport.TextReport, watch func() (*peer.WatchResponse, error)) (address string) {
+	server := httptest.NewServer(transport.Handler("", watchFunc{watch: watch}, report))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
 
-// TestUnreadableIsNotSilent polls a control instance whose responses cannot be encoded, one that is not
-// there, and a sound one: the log and the gauges must tell them apart.
+func pollAll(t *testing.T, addresses ...string) (*Client, recordingSink) {
+	sink := recordingSink{make(chan *peer.WatchResponse, 1)}
+	client := NewClient("", transport.NewClient(netip.MustParseAddr("127.0.0.1"), "", nil), sink, event.Nop())
+	client.SetSeeds(addresses)
+	t.Cleanup(client.Stop)
+	return client, sink
+}
+
+// TestUnreadableIsNotSilent polls a control instance that responds with an error, one that responds with
+// what is no message, one that is not there, and a sound one: the gauges must tell them apart.
 func TestUnreadableIsNotSilent(t *testing.T) {
-	reported := make(chan []string, 100)
-	report := func(method string, fields []string) {
-		require.Equal(t, "Watch", method)
-		reported <- fields
-	}
-	poisoned := httptest.NewServer(transport.Handler("", watchFunc{watch: func() (*peer.WatchResponse, error) {
-		return &peer.WatchResponse{Server: "\xff"}, nil
-	}}, transport.ReportUnencodable(report)))
-	defer poisoned.Close()
-	sound := httptest.NewServer(transport.Handler("", watchFunc{watch: func() (*peer.WatchResponse, error) {
-		return &peer.WatchResponse{Server: "s"}, nil
-	}}))
-	defer sound.Close()
+	ignore := func(string, []string) {}
+	failing := serveWatch(t, ignore, func() (*peer.WatchResponse, error) { return nil, twirp.InternalError("cannot be encoded") })
+	sound := serveWatch(t, ignore, func() (*peer.WatchResponse, error) { return &peer.WatchResponse{Server: "s"}, nil })
+	garbled := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("\x0a\x02\xff\xfe")) }))
+	t.Cleanup(garbled.Close)
 	gone := httptest.NewServer(http.NotFoundHandler())
 	gone.Close()
-	client := NewClient("", dialerFunc(func(address string) peer.Peer {
-		return peer.NewPeerProtobufClient("http://"+address, http.DefaultClient)
-	}), discardSink{}, event.New(zap.NewNop()))
-	client.SetSeeds([]string{poisoned.Listener.Addr().String(), sound.Listener.Addr().String(), gone.Listener.Addr().String()})
-	defer client.Stop()
-	require.Equal(t, []string{"server"}, <-reported)
+	client, _ := pollAll(t, failing, sound, garbled.Listener.Addr().String(), gone.Listener.Addr().String())
 	require.Eventually(t, func() bool {
 		silent, unreadable := client.Failing()
-		return silent == 1 && unreadable == 1
+		return silent == 1 && unreadable == 2
 	}, 20*time.Second, time.Millisecond)
 }
 
-type dialerFunc func(address string) peer.Peer
-
-// Peer implements [Dialer].
-func (f dialerFunc) Peer(address string) peer.Peer { return f(address) }
+// Guards against one row that cannot be encoded and costs the whole response of a control instance.
+func TestUnencodableRowIsLeftOut(t *testing.T) {
+	reported := make(chan []string, 100)
+	address := serveWatch(t, func(method string, fields []string) {
+		require.Equal(t, "Watch", method)
+		select {
+		case reported <- fields:
+		default:
+		}
+	}, func() (*peer.WatchResponse, error) {
+		return &peer.WatchResponse{Server: "s\xff", Rows: []*peer.TargetRow{{Id: "a"}, {Id: "i-\xff"}, {Id: "b"}}, Document: &peer.ReplaceDocument{Version: 7}}, nil
+	})
+	_, sink := pollAll(t, address)
+	response := <-sink.responses
+	require.Equal(t, []string{"server", "rows[1].id"}, <-reported)
+	require.Equal(t, "s", response.Server)
+	require.Len(t, response.Rows, 2)
+	require.EqualValues(t, 7, response.Document.Version)
+}
