A heartbeat moves no target to another service, and takes no address for an unknown one

Another writer's heartbeat without a start counted as news of the live incarnation, and its service replaced the target's own.

Cause: the roster filled a missing start from the known row, and let an incarnation change its service, address and failure domain.

--- a/roster/check.go
+++ b/roster/check.go
@@ -15,7 +15,7 @@
 var errFull = errors.New("there is no room for another target")
 
 // Check returns an error if a heartbeat or deregistration cannot come from the target that it names:
-// its id or one of its figures is not valid.
+// its id or one of its figures is not valid, or it contradicts what its incarnation stated before.
 func (r *Roster) Check(row *peer.TargetRow) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -27,17 +27,30 @@
 	if err := r.checkRow(row); err != nil {
 		return err
 	}
-	if r.entries[row.Id] == nil && r.full() {
+	known := r.entries[row.Id]
+	if known != nil && known.row.BornMs > 0 && row.BornMs == 0 && row.State != peer.TargetRow_GONE {
+		return fmt.Errorf("target %q states no start, but its incarnation of %d does", row.Id, known.row.BornMs)
+	}
+	if known == nil && r.full() {
 		return errFull
 	}
 	return nil
 }
 
-// checkRow returns an error if the row is not valid.
+// checkRow returns an error if the row is not valid, or if it moves a known incarnation to another service,
+// address or failure domain.
 func (r *Roster) checkRow(row *peer.TargetRow) error {
 	if err := checkFields(row); err != nil {
 		return err
 	}
+	known := r.entries[row.Id]
+	if known == nil || !sameIncarnation(known.row, row) || row.Address == "" || known.row.Address == "" {
+		return nil
+	}
+	if row.Service != known.row.Service || row.Address != known.row.Address || row.Domain != known.row.Domain {
+		return fmt.Errorf("target %q is %s at %s in %s since its start, and cannot be %s at %s in %s", row.Id,
+			known.row.Service, known.row.Address, known.row.Domain, row.Service, row.Address, row.Domain)
+	}
 	return nil
 }
 
--- a/roster/check_test.go
+++ b/roster/check_test.go
@@ -12,6 +12,43 @@
 	"auburnscale/peer"
 )
 
+// Guards against a heartbeat of another writer, without a start, that moves a target to another service:
+// requests of that service then ran there.
+func TestTargetKeepsItsService(t *testing.T) {
+	for _, change := range []func(*peer.TargetRow){
+		func(r *peer.TargetRow) { r.BornMs = 0 },
+		func(r *peer.TargetRow) { r.Service = "other" },
+		func(r *peer.TargetRow) { r.Service, r.BornMs = "other", 0 },
+		func(r *peer.TargetRow) { r.Address = "1:2" },
+		func(r *peer.TargetRow) { r.Domain = "d9" },
+	} {
+		r, _ := newRoster()
+		require.True(t, r.UpdateTarget(row("e1", "1:1", 10, 1)))
+		odd := row("e1", "1:1", 10, 99)
+		change(odd)
+		require.Error(t, r.Check(odd))
+		require.False(t, r.UpdateTarget(odd))
+		require.Equal(t, "desk", r.Snapshot().Target("e1").Service)
+		require.Len(t, r.Snapshot().ReadyTargets("desk"), 1)
+		draining := row("e1", "1:1", 10, 2)
+		draining.State = peer.TargetRow_DRAINING
+		require.True(t, r.UpdateTarget(draining), "the target's own heartbeats hold")
+
+		// The same from another instance, which may run an earlier release.
+		other, _ := newRoster()
+		other.Merge([]*peer.TargetRow{row("e1", "1:1", 10, 1)})
+		other.Merge([]*peer.TargetRow{proto.Clone(odd).(*peer.TargetRow)})
+		require.Equal(t, []string{"desk", "1:1", "d0"}, []string{other.Snapshot().Target("e1").Service, other.Snapshot().Target("e1").Address, other.Snapshot().Target("e1").Domain})
+	}
+	// A target that never states a start, and one that ends, are not refused.
+	r, _ := newRoster()
+	require.True(t, r.UpdateTarget(row("e1", "1:1", 0, 1)))
+	require.True(t, r.UpdateTarget(row("e1", "1:1", 0, 2)))
+	require.True(t, r.UpdateTarget(row("e2", "1:2", 10, 2)))
+	require.True(t, r.UpdateTarget(&peer.TargetRow{Id: "e2", State: peer.TargetRow_GONE, EndedMs: 11}))
+	require.True(t, r.UpdateTarget(row("e2", "1:3", 20, 1)), "a later incarnation may be anything")
+}
+
 // Guards against rows of other instances that cannot be used and cost the rows beside them.
 func TestOddRowsCostOnlyThemselves(t *testing.T) {
 	odd := map[string]func(*peer.TargetRow){
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -21,11 +21,15 @@
 // target that starts right after the deregistration is not ended by it.
 const deregistrationMargin = 500 * time.Millisecond
 
+// maxStartAhead is how far in the future a target's start may be by the estimate of true time. An
+// incarnation owns its id and address against all that started before it.
+const maxStartAhead = 24 * time.Hour
+
 // UpdateTarget merges a target's heartbeat or deregistration into the roster. It returns an error that
 // wraps [platform.ErrInvalid] if no target can have sent the call. A deregistration that names no start
 // time ends all incarnations of the target that have started so far.
 func (c *Control) UpdateTarget(_ context.Context, row *peer.TargetRow) error {
-	if err := c.roster.Check(row); err != nil {
+	if err := c.checkTarget(row); err != nil {
 		c.logger.Log(event.TargetRefused, zap.String("target", peer.Clip(row.Id, peer.MaxNameBytes)), zap.Error(err))
 		c.metrics.Counter("target_calls_refused").Inc(1)
 		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
@@ -34,6 +38,25 @@
 	return nil
 }
 
+// checkTarget returns an error if no target can have sent the row. A service that the configuration
+// does not name is accepted only from a target that is known to belong to it.
+func (c *Control) checkTarget(row *peer.TargetRow) error {
+	if ahead := row.BornMs - c.watchServer.MedianTime().Milliseconds(); ahead > maxStartAhead.Milliseconds() {
+		return fmt.Errorf("target %q states a start that is %d ms ahead", row.Id, ahead)
+	}
+	if err := c.roster.Check(row); err != nil {
+		return err
+	}
+	snapshot := c.snapshot()
+	if row.State == peer.TargetRow_GONE || snapshot == nil || snapshot.Service(row.Service) != nil {
+		return nil
+	}
+	if known := c.roster.Snapshot().Target(row.Id); known.GetService() == row.Service && known.GetBornMs() == row.BornMs {
+		return nil
+	}
+	return fmt.Errorf("target %q: configuration %d names no service %q", row.Id, snapshot.Version(), row.Service)
+}
+
 // mergeTarget merges a row that a target sent, and logs what it changed. It returns false if the row is
 // outdated.
 func (c *Control) mergeTarget(row *peer.TargetRow) bool {
--- a/serve/poisoned_state_test.go
+++ b/serve/poisoned_state_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -96,3 +98,30 @@
 		})
 	}
 }
+
+// Guards against a heartbeat of another writer that takes a sound target away, or moves it to another service.
+func TestOddHeartbeatsMoveNoTarget(t *testing.T) {
+	f, target := newServingFleet(t)
+	const valid = `{"service":"desk","addr":%q,"zone":"d1","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":9,"born":2000}`
+	for _, each := range []struct{ id, old, new string }{
+		{"other", `"desk"`, `"nobody"`},
+		{"e1", `"desk"`, `"nobody"`},
+		{"e1", `,"born":2000`, ``},
+		{"e1", `"version":"v1",`, ``},
+		{"e1", `"born":2000`, fmt.Sprintf(`"born":%d`, time.Now().Add(48*time.Hour).UnixMilli())},
+	} {
+		for host := 1; host <= 3; host++ {
+			body := strings.Replace(fmt.Sprintf(valid, target.Address()), each.old, each.new, 1)
+			status, text, err := f.call(http.MethodPost, f.address(host, fleetOperatorPort), "/Instances.Heartbeat/"+each.id, body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusBadRequest, status, "%s %s", each.new, text)
+		}
+	}
+	f.replace(2, 2, "/other/")
+	f.awaitServed(10, "/other/")
+	f.heartbeat(3, target, "draining", 2)
+	f.await("the target's own heartbeats hold", func() bool {
+		status, _ := f.order(10, "/other/", "after")
+		return status == http.StatusServiceUnavailable
+	})
+}
