A response to an order cannot take the control leaders out

What was seen (review, seen but no case): after one 200 to a usage report with 300 bytes of accents, six leaders failed one after the other within 30 s.

Cause: the text of the response was cut at its 200th byte, inside a character. The command that closes the intent could not be encoded for the log; the voter took that for a failed disk and rebuilt itself, and the next leader did the same.

Change: texts are cut before a character (peer.Clip), the stored content type and quotes of engines' errors too; a voter refuses a command or voter set that cannot be encoded, or is too large for a message, before it is in the log; an idempotency key that is not UTF-8 gets a 400.

--- a/authority/executor.go
+++ b/authority/executor.go
@@ -209,7 +209,7 @@
 		return ErrNoLease
 	}
 	_, err := e.propose(context.Background(), &peer.Command{Actor: e.voter.Incarnation(), Body: &peer.Command_CloseIntent{CloseIntent: &peer.CloseIntent{
-		Id: action.ID, Issuer: e.voter.Incarnation(), Status: int32(status), Detail: detail[:min(len(detail), maxDetail)],
+		Id: action.ID, Issuer: e.voter.Incarnation(), Status: int32(status), Detail: peer.Clip(detail, maxDetail),
 	}}})
 	if err != nil {
 		return fmt.Errorf("commit response to intent %s: %w", action.ID, err)
--- a/authority/executor_test.go
+++ b/authority/executor_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/require"
 
@@ -35,6 +37,7 @@
 // A fakeVoter is the voter of one process. It may believe that it holds the lease.
 type fakeVoter struct {
 	log         *fakeLog
+	proposed    []*peer.Command
 	incarnation string
 	holdsLease  bool
 }
@@ -48,6 +51,7 @@
 	if !v.holdsLease {
 		return nil, errors.New("not the leader")
 	}
+	v.proposed = append(v.proposed, c)
 	v.log.index++
 	return v.log.machine.Apply(&peer.Entry{Index: v.log.index, Term: v.log.term, Command: c}), nil
 }
@@ -58,6 +62,7 @@
 	received []string
 	pause    func()
 	silent   bool
+	detail   string
 }
 
 func (t *fakeTarget) Send(_ context.Context, _ string, _ uint64, payload []byte) (int, string, error) {
@@ -70,7 +75,7 @@
 	if t.silent {
 		return 0, "", errors.New("no response")
 	}
-	return 200, "", nil
+	return 200, t.detail, nil
 }
 
 func newExecutor(v *fakeVoter, t *fakeTarget) *Executor {
@@ -196,3 +201,16 @@
 	tasks.closeWindow(context.Background(), clockAt(2*time.Second))
 	require.Equal(t, clockAt(-time.Minute).wall.UnixMilli(), l.machine.LastClosedWindow())
 }
+
+// Guards against a response to an order whose text is cut inside a character: no leader could store it, and
+// each took that for a failed disk.
+func TestResponseTextIsStoredAsUTF8(t *testing.T) {
+	for _, detail := range []string{strings.Repeat("é", 150), "x" + strings.Repeat("é", 150), "\xff\xfe", strings.Repeat("\xff", 300), "ok"} {
+		v := &fakeVoter{log: newFakeLog(), incarnation: "one", holdsLease: true}
+		require.NoError(t, newExecutor(v, &fakeTarget{detail: detail}).Execute(context.Background(), order("a", "x")))
+		stored := v.proposed[len(v.proposed)-1].GetCloseIntent()
+		require.True(t, utf8.ValidString(stored.Detail), "%q", detail)
+		require.LessOrEqual(t, len(stored.Detail), 200)
+		require.True(t, strings.HasPrefix(detail, stored.Detail))
+	}
+}
--- a/caller/call.go
+++ b/caller/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/valyala/fasthttp"
 
@@ -95,6 +96,9 @@
 	if len(c.key) > maxKeyBytes {
 		return nil, reject(fasthttp.StatusBadRequest, CodeBadRequest, fmt.Sprintf("the header %s exceeds the limit of %d bytes", IdempotencyHeader, maxKeyBytes))
 	}
+	if !utf8.ValidString(c.key) {
+		return nil, reject(fasthttp.StatusBadRequest, CodeBadRequest, fmt.Sprintf("the header %s is not UTF-8", IdempotencyHeader))
+	}
 	c.atMostOnce = c.key != "" || serviceSpec.IsNonIdempotent(c.outbound.Method, rest)
 	return c, nil
 }
--- a/caller/claim.go
+++ b/caller/claim.go
@@ -105,10 +105,13 @@
 	}}}
 }
 
+// maxContentTypeBytes bounds the content type that is stored with an outcome.
+const maxContentTypeBytes = 256
+
 // outcomeFromResponse returns the response as an outcome to store. It drops a body
 // over control.MaxOutcomeBytes.
 func outcomeFromResponse(response *plainservice.Response) *peer.Outcome {
-	outcome := &peer.Outcome{Status: int32(response.Status()), ContentType: response.ContentType(), Body: response.Body()}
+	outcome := &peer.Outcome{Status: int32(response.Status()), ContentType: peer.Clip(response.ContentType(), maxContentTypeBytes), Body: response.Body()}
 	if len(outcome.Body) > control.MaxOutcomeBytes {
 		outcome.Body = nil
 		outcome.BodyDropped = true
--- a/engine/client.go
+++ b/engine/client.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"auburnscale/exchange"
+	"auburnscale/peer"
 )
 
 const (
@@ -74,7 +75,7 @@
 	const maxQuoted = 512
 	body, _ := response.ReadAll(maxReportBytes)
 	return &StatusError{
-		status: response.Status(), body: string(body[:min(len(body), maxQuoted)]),
+		status: response.Status(), body: peer.Clip(string(body), maxQuoted),
 		retryAfter: string(response.Header().Peek(fasthttp.HeaderRetryAfter)),
 	}
 }
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -250,10 +250,28 @@
 func (v *Voter) Propose(ctx context.Context, command *peer.Command) (*peer.Result, error) {
 	// The command is copied because the caller may propose it again.
 	command = proto.Clone(command).(*peer.Command)
+	if refused := checkCommand(command); refused != nil {
+		return refused, nil
+	}
 	command.AtMs = clock.Wall().UnixMilli()
 	return v.submit(ctx, proposal{command: command, resultCh: make(chan proposalResult, 1)})
 }
 
+// maxCommandBytes bounds a command, so that a message to another voter can carry it.
+const maxCommandBytes = 24 << 20
+
+// checkCommand returns the refusal of a command that cannot be stored and sent to the other voters, or nil.
+// In the log it would take every leader for one with a failed disk.
+func checkCommand(command *peer.Command) *peer.Result {
+	if fields := peer.Unencodable(command); len(fields) > 0 {
+		return &peer.Result{Code: peer.Result_REFUSED, Detail: fmt.Sprintf("the command holds text that is not UTF-8: %v", fields)}
+	}
+	if size := proto.Size(command); size > maxCommandBytes {
+		return &peer.Result{Code: peer.Result_REFUSED, Detail: fmt.Sprintf("the command has %d bytes, at most %d are accepted", size, maxCommandBytes)}
+	}
+	return nil
+}
+
 // HandlePropose commits the command or the voter set of another instance's request.
 func (v *Voter) HandlePropose(ctx context.Context, request *peer.ProposeRequest) (*peer.Result, error) {
 	if request.Voters != nil {
@@ -268,6 +286,9 @@
 // ChangeVoters commits a new voter set. A change that the quorum node rejects gives
 // a result with code REFUSED.
 func (v *Voter) ChangeVoters(ctx context.Context, voters *peer.Voters) (*peer.Result, error) {
+	if fields := peer.Unencodable(voters); len(fields) > 0 {
+		return &peer.Result{Code: peer.Result_REFUSED, Detail: fmt.Sprintf("the voter set holds text that is not UTF-8: %v", fields)}, nil
+	}
 	return v.submit(ctx, proposal{voters: voters, resultCh: make(chan proposalResult, 1)})
 }
 
