An entry instance that cannot read the news says so and is not ready

What callers saw: an entry instance that got a committed configuration which it cannot decode, or polls that nobody answers with anything readable, stayed in rotation and refused or ran requests by an older configuration.

Change: it counts as behind until it has a newer configuration, or a poll succeeds or the control instances do not answer at all (then it is cut off, and goes on as before): log events behind and caught_up, gauge behind, and it reports that it is not ready. It serves the requests that it gets. A control instance decodes a configuration that it cannot read once, not at each use.

TestUnreadableNewsCountAsBehind plays both; without the change the instance reports 200 throughout.

--- a/event/event.go
+++ b/event/event.go
@@ -104,6 +104,8 @@
 	ControlLost           = define(308, "control_lost", zapcore.WarnLevel, "a control instance does not answer; responded tells that it did, but with an error or a response that cannot be read")
 	ControlRestored       = define(309, "control_back", zapcore.InfoLevel, "a control instance answers again")
 	TextUnencodable       = define(312, "text_unencodable", zapcore.ErrorLevel, "a response to another instance held text that is not UTF-8; the rows with it were left out; fields are the first of count such places")
+	Behind                = define(313, "behind", zapcore.ErrorLevel, "this entry instance cannot read a committed configuration (unreadable_version), or the response of any control instance that answers; it reports that it is not ready and serves with what it has")
+	CaughtUp              = define(314, "caught_up", zapcore.InfoLevel, "this entry instance can read the news of the control instances again")
 	SettingsReloaded      = define(105, "settings_reloaded", zapcore.InfoLevel, "the settings file was reloaded")
 	SettingsRefused       = define(107, "settings_refused", zapcore.ErrorLevel, "the changed settings file is invalid; the old settings stay in effect")
 	LogLinesDropped       = define(108, "lines_left_out", zapcore.WarnLevel, "log lines were dropped because they exceeded the rate limit or the queue; total is their number since the start")
--- a/serve/control.go
+++ b/serve/control.go
@@ -87,7 +87,7 @@
 	watchClient    *watch.Client
 	meter          *authority.Meter
 	// decodedConfiguration caches the result of snapshot.
-	decodedConfiguration atomic.Pointer[catalog.Snapshot]
+	decodedConfiguration atomic.Pointer[decodedConfiguration]
 	linkServer           *transport.Server
 	operatorServer       *http.Server
 	// listener is the listener of operatorServer.
@@ -210,18 +210,25 @@
 	if document == nil {
 		return nil
 	}
-	if known := c.decodedConfiguration.Load(); known != nil && known.Version() == document.Version {
-		return known
+	if known := c.decodedConfiguration.Load(); known != nil && known.version == document.Version {
+		return known.snapshot
 	}
 	snapshot, _, err := decodeDocument(document)
 	if err != nil {
 		c.logger.Log(event.ConfigurationRefused, zap.Uint64("version", document.Version), zap.Error(err))
-		return nil
+		snapshot = nil
 	}
-	c.decodedConfiguration.Store(snapshot)
+	c.decodedConfiguration.Store(&decodedConfiguration{document.Version, snapshot})
 	return snapshot
 }
 
+// A decodedConfiguration is the result of decoding the document of a version. The snapshot is nil if
+// the document cannot be decoded.
+type decodedConfiguration struct {
+	version  uint64
+	snapshot *catalog.Snapshot
+}
+
 type usageSender struct{ client *platform.LeaderTaskClient }
 
 // Send sends the committed usage report to the platform and returns the response's
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -86,6 +86,8 @@
 	// configuration.
 	leaderConfirmed      atomic.Bool
 	configurationVersion atomic.Uint64
+	// unreadableVersion is the version of the newest configuration that could not be decoded.
+	unreadableVersion atomic.Uint64
 	// confirmedAt is a lower bound, on clock.Now in nanoseconds, of the time at
 	// which a leader that holds its lease last made a response that confirmed this
 	// instance's configuration as the newest.
@@ -94,9 +96,11 @@
 	rowLog        *rowLog
 	metrics       tally.Scope
 	metricsServer *metricsServer
-	documents     chan *peer.ReplaceDocument
-	failures      chan error
-	stopped       chan struct{}
+	// behindLogged is the state that updateBehind last logged. It belongs to runRefresh.
+	behindLogged bool
+	documents    chan *peer.ReplaceDocument
+	failures     chan error
+	stopped      chan struct{}
 }
 
 // NewEntry builds an entry instance and opens its listeners.
@@ -231,8 +235,15 @@
 	return e.leaderConfirmed.Load() || clock.Now()-e.startedAt > isolationContactTimes*e.settings.Fleet.RecoveryTime.AsDuration()
 }
 
-// Ready reports whether the instance has a configuration that it may serve with.
-func (e *Entry) Ready() bool { return e.Configuration() != nil }
+// Ready reports whether the instance has a configuration that it may serve with and is not known to be
+// behind.
+func (e *Entry) Ready() bool { return e.Configuration() != nil && !e.behind() }
+
+// behind reports whether this instance knows that it lacks news that it cannot read: a committed
+// configuration, or the responses of every control instance that answers.
+func (e *Entry) behind() bool {
+	return e.unreadableVersion.Load() > e.configurationVersion.Load() || e.watchClient.Unreadable()
+}
 
 // KeysFresh reports whether this instance knows of every key that was withdrawn
 // more than fleet.key_life ago. Without fleet.strict_keys it need not, and
@@ -309,7 +320,26 @@
 	}
 }
 
+// updateBehind logs whether this instance is behind when that changes, and sets the gauges.
+func (e *Entry) updateBehind() {
+	silent, unreadable := e.watchClient.Failing()
+	e.metrics.Gauge("control_silent").Update(float64(silent))
+	e.metrics.Gauge("control_unreadable").Update(float64(unreadable))
+	behind := e.behind()
+	if behind == e.behindLogged {
+		return
+	}
+	e.behindLogged = behind
+	kind, gauge := event.CaughtUp, 0.0
+	if behind {
+		kind, gauge = event.Behind, 1
+	}
+	e.metrics.Gauge("behind").Update(gauge)
+	e.logger.Log(kind, zap.Uint64("version", e.configurationVersion.Load()), zap.Uint64("unreadable_version", e.unreadableVersion.Load()), zap.Int("control_unreadable", unreadable))
+}
+
 func (e *Entry) refresh() {
+	e.updateBehind()
 	configuration := e.configuration.Load()
 	if configuration == nil {
 		return
@@ -323,9 +353,6 @@
 	e.metrics.Gauge("configuration_version").Update(float64(configuration.Version()))
 	e.metrics.Gauge("blocks_quarantined").Update(float64(e.blocks.Quarantined()))
 	e.metrics.Gauge("targets_limited").Update(float64(e.gate.Limited()))
-	silent, unreadable := e.watchClient.Failing()
-	e.metrics.Gauge("control_silent").Update(float64(silent))
-	e.metrics.Gauge("control_unreadable").Update(float64(unreadable))
 	e.metrics.Gauge("requests_open").Update(float64(e.gateway.OpenRequests()))
 	for _, name := range names {
 		e.metrics.Tagged(map[string]string{"service": name}).Gauge("targets_usable").Update(float64(len(e.fleets.Fleet(name).Targets())))
@@ -341,6 +368,7 @@
 	}
 	snapshot, _, err := decodeDocument(document)
 	if err != nil {
+		e.unreadableVersion.Store(max(e.unreadableVersion.Load(), document.Version))
 		e.logger.Log(event.ConfigurationRefused, zap.Uint64("version", document.Version), zap.Error(err))
 		return
 	}
--- a/serve/poisoned_state_test.go
+++ b/serve/poisoned_state_test.go
@@ -1,7 +1,9 @@
 package serve
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -125,3 +127,48 @@
 		return status == http.StatusServiceUnavailable
 	})
 }
+
+// Guards against an entry instance that cannot read a committed configuration, or any response to its polls, and
+// goes on to count as up to date.
+func TestUnreadableNewsCountAsBehind(t *testing.T) {
+	f, _ := newServingFleet(t)
+	ready := func(want int) func() bool {
+		return func() bool {
+			status, _, err := f.call(http.MethodGet, f.address(10, fleetReadyPort), "/ready", "")
+			return err == nil && status == want
+		}
+	}
+	f.await("the entry instance is ready", ready(http.StatusOK))
+	// A document that an instance of another release accepted.
+	leader := f.running["control1"].process.(*Control)
+	f.await("the document is committed", func() bool {
+		result, err := leader.replicaManager.Propose(context.Background(), &peer.Command{Body: &peer.Command_Replace{Replace: &peer.ReplaceDocument{Version: 5, Body: []byte(`{"version":5,"routes":[{"kind":"later"}]}`)}}})
+		return err == nil && result.Code == peer.Result_OK
+	})
+	f.await("the entry instance is behind", ready(http.StatusServiceUnavailable))
+	status, _ := f.order(10, "/orders/", "during")
+	require.Equal(t, http.StatusOK, status, "it serves with what it has")
+	f.replace(2, 6, "/other/")
+	f.await("the entry instance has caught up", ready(http.StatusOK))
+	f.awaitServed(10, "/other/")
+
+	// Every control instance is replaced by one that answers polls with what is no message.
+	var garbled []*http.Server
+	for host := 1; host <= 3; host++ {
+		f.stop(fmt.Sprint("control", host))
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("\xff")) }), ReadHeaderTimeout: time.Second}
+		var listener net.Listener
+		f.await("the address is free", func() bool {
+			var err error
+			listener, err = net.Listen("tcp", f.address(host, fleetPeerPort))
+			return err == nil
+		})
+		go func() { _ = server.Serve(listener) }()
+		garbled = append(garbled, server)
+	}
+	f.await("the entry instance is behind", ready(http.StatusServiceUnavailable))
+	for _, server := range garbled {
+		_ = server.Close()
+	}
+	f.await("the entry instance is cut off, but not behind", ready(http.StatusOK))
+}
--- a/watch/client.go
+++ b/watch/client.go
@@ -206,6 +206,15 @@
 	return silent, unreadable
 }
 
+// Unreadable reports whether no control instance that is polled answers with what can be read, and at
+// least one answers with something else. Then this instance is not cut off, but behind.
+func (c *Client) Unreadable() bool {
+	silent, unreadable := c.Failing()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return unreadable > 0 && silent+unreadable == len(c.loops)
+}
+
 // responded reports whether a failed call got a response: an error of the other instance, or a
 // message that cannot be decoded.
 func responded(err error) bool {
