Acknowledge a leave only once other control instances hold it

Cause: a leave was acknowledged from the memory of one process. If that ended before anybody had polled it, or if its responses could not be encoded, nobody else ever learned of the leave; a target that deregistered sends no more heartbeats, so nothing repaired it.

Change: before a deregistration or the first heartbeat of a draining target is acknowledged, the row is given to all other control instances (KeepTargets); as many as may be lost at once must confirm, one of them in another failure domain if there is one. Without that the leave is merged, but answered 503.

Repeated heartbeats are not copied.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -135,6 +135,16 @@
 	return refused
 }
 
+// Row returns a copy of the row of the target with its ages, or nil.
+func (r *Roster) Row(id string) *peer.TargetRow {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if e := r.entries[id]; e != nil {
+		return r.rowWithAges(e, r.now())
+	}
+	return nil
+}
+
 // HeardSince reports whether the incarnation of the target, which is its start in Unix
 // milliseconds, sent a heartbeat after the time, or announced that it ends. It returns false
 // for an unknown target.
@@ -271,16 +281,21 @@
 		if e.revision <= since {
 			continue
 		}
-		row := proto.Clone(e.row).(*peer.TargetRow)
-		row.AgeMs = max(0, (now - e.lastContact).Milliseconds())
-		if row.AwayMs > 0 {
-			row.AwayMs = max(1, (e.switchingUntil - now).Milliseconds())
-		}
-		if row.State == peer.TargetRow_DRAINING {
-			row.DrainingMs = max(1, (now - e.drainingSince).Milliseconds())
-		}
-		rows = append(rows, row)
+		rows = append(rows, r.rowWithAges(e, now))
 	}
 	slices.SortFunc(rows, func(a, b *peer.TargetRow) int { return cmp.Compare(a.Id, b.Id) })
 	return rows
 }
+
+// rowWithAges returns a copy of the row of an entry. r.mutex must be held.
+func (r *Roster) rowWithAges(e *entry, now time.Duration) *peer.TargetRow {
+	row := proto.Clone(e.row).(*peer.TargetRow)
+	row.AgeMs = max(0, (now - e.lastContact).Milliseconds())
+	if row.AwayMs > 0 {
+		row.AwayMs = max(1, (e.switchingUntil - now).Milliseconds())
+	}
+	if row.State == peer.TargetRow_DRAINING {
+		row.DrainingMs = max(1, (now - e.drainingSince).Milliseconds())
+	}
+	return row
+}
--- a/serve/control.go
+++ b/serve/control.go
@@ -84,6 +84,7 @@
 	loadMesh       *watch.LoadMesh
 	origins        *origin.Index
 	originCopier   *watch.OriginCopier
+	leaves         *leaveKeeper
 	watchClient    *watch.Client
 	meter          *authority.Meter
 	// decodedConfiguration caches the result of snapshot.
@@ -163,6 +164,8 @@
 	c.watchClient = watch.NewClient(self.Address, c.outboundClients.client, c, c.logger)
 	c.loadMesh = watch.NewLoadMesh(self.Address, c.loadAggregator, c.watchClient.Addresses, c.watchServer.Entries, c.outboundClients.client)
 	c.originCopier = watch.NewOriginCopier(self.Address, c.settings.FailureDomain, c.origins, c.watchClient, c.outboundClients.client)
+	copier := watch.NewLeaveCopier(self.Address, c.settings.FailureDomain, f.ToleratedLosses, c.watchClient, c.outboundClients.client)
+	c.leaves = newLeaveKeeper(c.roster, copier, c.metrics, c.logger)
 	c.replicaManager = replica.New(replica.Config{Self: self, DesiredVoters: 2*f.ToleratedLosses + 1, ControlAddresses: c.watchClient.Addresses, ReportedMembers: c.watchClient.ControlReplicas}, c.voter, c.senders, c.outboundClients.client, c.logger)
 	c.buildLeaderTasks()
 }
@@ -308,6 +311,7 @@
 			c.updateGauges()
 			c.dropClosedWindows()
 			c.roster.Tick()
+			c.leaves.forget()
 			c.roster.EndExpiredSwitches()
 		}
 	}
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -26,16 +26,20 @@
 const maxStartAhead = 24 * time.Hour
 
 // UpdateTarget merges a target's heartbeat or deregistration into the roster. It returns an error that
-// wraps [platform.ErrInvalid] if no target can have sent the call. A deregistration that names no start
-// time ends all incarnations of the target that have started so far.
-func (c *Control) UpdateTarget(_ context.Context, row *peer.TargetRow) error {
+// wraps [platform.ErrInvalid] if no target can have sent the call, and another one if a leave is merged,
+// but no other control instance is known to have it. A deregistration that names no start time ends all
+// incarnations of the target that have started so far.
+func (c *Control) UpdateTarget(ctx context.Context, row *peer.TargetRow) error {
 	if err := c.checkTarget(row); err != nil {
 		c.logger.Log(event.TargetRefused, zap.String("target", peer.Clip(row.Id, peer.MaxNameBytes)), zap.Error(err))
 		c.metrics.Counter("target_calls_refused").Inc(1)
 		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
 	}
 	c.mergeTarget(row)
-	return nil
+	if row.State == peer.TargetRow_READY {
+		return nil
+	}
+	return c.leaves.keep(ctx, row.Id)
 }
 
 // checkTarget returns an error if no target can have sent the row. A service that the configuration
@@ -163,6 +167,13 @@
 	return &peer.CopyOriginsResponse{}, nil
 }
 
+// KeepTargets merges rows that another control instance is about to acknowledge.
+func (s *controlPeerServer) KeepTargets(_ context.Context, rows *peer.TargetRows) (*peer.KeepTargetsResponse, error) {
+	refused := s.control.roster.Merge(rows.Rows)
+	s.control.rowLog.log(refused)
+	return &peer.KeepTargetsResponse{Kept: int32(len(rows.Rows) - len(refused))}, nil
+}
+
 // Enrol accepts a replica's request to join the control group.
 func (s *controlPeerServer) Enrol(_ context.Context, request *peer.EnrolRequest) (*peer.EnrolResponse, error) {
 	if request.Replica.GetId() == 0 || request.Replica.Address == "" {
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -137,7 +137,7 @@
 
 const readHeaderTimeout = 5 * time.Second
 
-// Watch, Share, FindOrigin, CopyOrigins, Enrol and Current are implemented by [controlPeerServer]. They
+// Watch, Share, FindOrigin, CopyOrigins, KeepTargets, Enrol and Current are implemented by [controlPeerServer]. They
 // fail on instances without seed discovery.
 
 // Watch returns errNotInFleet.
@@ -160,6 +160,11 @@
 	return nil, errNotInFleet
 }
 
+// KeepTargets returns errNotInFleet.
+func (s *peerServer) KeepTargets(context.Context, *peer.TargetRows) (*peer.KeepTargetsResponse, error) {
+	return nil, errNotInFleet
+}
+
 // Enrol returns errNotInFleet.
 func (s *peerServer) Enrol(context.Context, *peer.EnrolRequest) (*peer.EnrolResponse, error) {
 	return nil, errNotInFleet
