Continue a stream after the event that its ids name, whatever its text holds

Cause: the id of the last event was looked for as the last "id:" anywhere in the events. If that was in the text, the id was not updated, and the next target was asked to go on after an older event, or from the start.

Change: the lines of each event are read, with any of the three line ends. A stream whose last event has no id that can be sent to a target is not resumed. The first event of a response that continues a stream must come after the last one, or the stream is cut: an engine that ignores the id repeats nothing.

--- /dev/null
+++ b/gateway/event_cursor_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestEventCursor checks after which event a stream goes on.
+func TestEventCursor(t *testing.T) {
+	for _, test := range []struct {
+		events string
+		want   eventCursor
+	}{
+		{"id: 7\ndata: x\n\n", eventCursor{lastID: "7"}},
+		{"id:7\ndata: bid: 9 EUR\n\n", eventCursor{lastID: "7"}},
+		{"data: id: 9\nid: 7\n\n", eventCursor{lastID: "7"}},
+		{"id: 7\r\ndata: id:\r\n\r\n", eventCursor{lastID: "7"}},
+		{"id: 7\rdata: x\r\r", eventCursor{lastID: "7"}},
+		{"id: 7\ndata: x\n\nid: 8\ndata: grid: 1\n\n", eventCursor{lastID: "8"}},
+		{"x-weight-versions: 3\nid: 7\ndata: x\n\n", eventCursor{lastID: "7"}},
+		{"id: 7\ndata: x\n\n: ping\n\n", eventCursor{lastID: "7"}},
+		{"id: 7\ndata: x\n\nidentity: 9\nretry: 5\n\n", eventCursor{lastID: "7"}},
+		{"id: 7\ndata: x\n\ndata: y\n\n", eventCursor{lastID: "7", lost: true}},
+		{"id: 7\ndata: x\n\ndata: y\n\nid: 9\ndata: z\n\n", eventCursor{lastID: "9"}},
+		{"id\ndata: x\n\n", eventCursor{lost: true, resumed: true}},
+		{"id: \xff\ndata: x\n\n", eventCursor{lost: true, resumed: true}},
+		{"id: a b\ndata: x\n\n", eventCursor{lost: true, resumed: true}},
+		{"", eventCursor{resumed: true}},
+	} {
+		c := eventCursor{resumed: true}
+		require.NoError(t, c.advance([]byte(test.events)), "%q", test.events)
+		require.Equal(t, test.want, c, "%q", test.events)
+	}
+}
+
+// TestContinuedStreamRepeatsNoEvent has a target that ignores the id of the last event and begins again.
+func TestContinuedStreamRepeatsNoEvent(t *testing.T) {
+	for id, ok := range map[string]bool{"8": true, "12": true, "7": false, "1": false, "007": false, "x": true} {
+		c := eventCursor{lastID: "7", resumed: true}
+		err := c.advance([]byte("id: " + id + "\ndata: x\n\n"))
+		require.Equal(t, ok, err == nil, id)
+	}
+	c := eventCursor{lastID: "7", resumed: true}
+	require.NoError(t, c.advance([]byte("id: 8\n\nid: 2\n\n")), "only the first event is compared: engines may count anew")
+}
+
+// TestCursorIgnoresText draws events with any text and cuts the stream at any complete event.
+func TestCursorIgnoresText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := eventCursor{}
+		end := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "line end")
+		for n := range rapid.IntRange(1, 20).Draw(t, "events") {
+			text := rapid.SampledFrom([]string{"id:", "id: 3", "\tid:9", "data: id: 5", "high bid: 103", ""}).Draw(t, "text")
+			lines := []string{fmt.Sprint("id: ", n+1), "data: " + text}
+			if rapid.Bool().Draw(t, "id last") {
+				lines[0], lines[1] = lines[1], lines[0]
+			}
+			require.NoError(t, c.advance([]byte(strings.Join(lines, end)+end+end)))
+			require.Equal(t, eventCursor{lastID: fmt.Sprint(n + 1)}, c)
+		}
+	})
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -47,7 +47,7 @@
 }
 
 // eventTerminators are the blank lines that end an event, by the line ends of the stream.
-var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
 // completeEvents returns the length of the complete events at the start of data.
 func completeEvents(data []byte) (length int) {
@@ -69,7 +69,7 @@
 	resumable bool
 	started   bool
 	pending   []byte
-	lastID    string
+	cursor    eventCursor
 }
 
 const (
@@ -85,7 +85,7 @@
 // stream that cannot be resumed is aborted so that it does not look complete. Before
 // that, stream returns false, with a failure if the request must not be retried.
 func (c *call) stream(t *route.Target, response *exchange.Response, onStart func()) (bool, *failure) {
-	r := &relay{call: c, target: t, resumable: c.resumable(), lastID: c.info.LastEventID}
+	r := &relay{call: c, target: t, resumable: c.resumable(), cursor: eventCursor{lastID: c.info.LastEventID, resumed: true}}
 	for {
 		err := r.copy(response, onStart)
 		if err == nil {
@@ -181,7 +181,11 @@
 		return nil
 	}
 	events := r.pending[:end]
-	r.recordLastID(events)
+	if r.resumable {
+		if err := r.cursor.advance(events); err != nil {
+			return err
+		}
+	}
 	err := r.write(response, events)
 	r.pending = append(r.pending[:0], r.pending[end:]...)
 	return err
@@ -214,23 +218,12 @@
 	return http.NewResponseController(c.writer).Flush()
 }
 
-// recordLastID records the id that the last "id:" in the events gives, if that is at
-// the start of a line.
-func (r *relay) recordLastID(events []byte) {
-	at := bytes.LastIndex(events, []byte("id:"))
-	if at < 0 || at > 0 && events[at-1] != '\n' {
-		return
-	}
-	line, _, _ := bytes.Cut(events[at+len("id:"):], []byte("\n"))
-	r.lastID = string(bytes.TrimSpace(line))
-}
-
 // resume continues the stream at another target than before, after the last event that the
 // caller received. It returns nil if no target takes the stream.
 func (r *relay) resume(before *route.Target) (*route.Target, *exchange.Response) {
 	c := r.call
-	r.pending = r.pending[:0]
-	for c.mayRetry() && c.ctx.Err() == nil && c.mayContinue() {
+	r.pending, r.cursor.resumed = r.pending[:0], true
+	for !r.cursor.lost && c.mayRetry() && c.ctx.Err() == nil && c.mayContinue() {
 		placement := c.server.deps.Fleets.Placer().Direct(c.fleet(), c.prompt, c.excluded, time.Now())
 		t := placement.DecodeTarget
 		if t == nil || c.refuseIfQuarantined() != nil || c.heldOff > maxHeldOff {
@@ -244,7 +237,7 @@
 		}
 		c.server.countSend(t, sendContinued)
 		sent := clock.Now()
-		response, err := c.server.deps.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), LastEventID: r.lastID}))
+		response, err := c.server.deps.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), LastEventID: r.cursor.lastID}))
 		if err != nil {
 			if _, f := c.sendFailed(t, err); f != nil {
 				return nil, nil
@@ -260,7 +253,7 @@
 		}
 		c.runs++
 		c.setTarget(t)
-		c.server.logResumed(c, before, t, r.lastID)
+		c.server.logResumed(c, before, t, r.cursor.lastID)
 		return t, response
 	}
 	return nil, nil
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,6 +54,39 @@
 	}
 }
 
+// Guards against a resumed stream that repeats its first events, because their text holds "id:".
+func TestStreamWithFieldInItsTextIsResumed(t *testing.T) {
+	f := newFixture(t, 2)
+	once := onlyFirst(standin.TruncateStreamAfter(2))
+	for _, target := range f.targets {
+		target.SetVersion("v1")
+		target.Script(once)
+	}
+	response, _ := f.send(http.MethodPost, "/resumable/1", streamHeaders...)
+	require.NoError(t, response.err)
+	require.Equal(t, strings.ReplaceAll(threeEvents, "\n\n", ", high bid: 0 of v1\n\n"), response.body)
+}
+
+// TestStreamWithoutPositionIsNotResumed has a target break off after an event without an id, and one that begins
+// again although it is told the last event: nothing is repeated.
+func TestStreamWithoutPositionIsNotResumed(t *testing.T) {
+	for name, events := range map[string]string{"no id": "id: 1\ndata: a\n\ndata: b\n\n", "begins again": "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"} {
+		f := newFixture(t, 2)
+		for _, target := range f.targets {
+			target.Script(func(t *standin.Target, w http.ResponseWriter, _ *http.Request) bool {
+				w.Header().Set("X-Server-Stamp", "stamp")
+				w.Header().Set("Content-Type", "text/event-stream")
+				fmt.Fprint(w, events)
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			})
+		}
+		response, _ := f.send(http.MethodPost, "/resumable/1", streamHeaders...)
+		require.Error(t, response.err, name)
+		require.Equal(t, events, response.body, name)
+	}
+}
+
 // onlyFirst returns a behaviour that applies to the first request only, over all
 // targets that share it.
 func onlyFirst(behaviour standin.Behaviour) standin.Behaviour {
