Do not believe a refusal that an earlier request may have left on the connection

An engine wrote an earlier refusal once more on a kept connection.

Cause: an error response without a request id was taken for the request's own on a reused connection too, and a refusal that was cut could be continued by the head of the real response, with the right id.

Change: on a reused connection a response needs the request's id, once, and no head inside its status line or headers; what is not certain is an exchange that may have run. A request does not go again over a connection that carried its id. A request without an id gets a connection of its own.

--- a/exchange/idlepool.go
+++ b/exchange/idlepool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +49,20 @@
 	reusableUntil time.Time
 	// idleTime is how long the connection was idle before the current exchange.
 	idleTime time.Duration
+	// carried holds the ids of the last requests on the connection, at most maxCarried.
+	carried []string
+}
+
+// maxCarried bounds the remembered request ids of a connection. A response is at most a few exchanges
+// late.
+const maxCarried = 16
+
+// carry records that the connection carries the request with the id.
+func (c *conn) carry(id string) {
+	if len(c.carried) == maxCarried {
+		c.carried = c.carried[:copy(c.carried, c.carried[1:])]
+	}
+	c.carried = append(c.carried, id)
 }
 
 func newConn(connection net.Conn) *conn {
@@ -72,11 +87,12 @@
 // take removes and returns a usable idle connection to the address, or nil. It
 // takes the most recently used one, so that the others can expire. retryable says
 // whether the request can be retried if the target has dropped the connection
-// without closing it.
-func (p *idlePool) take(address string, retryable bool, now time.Time) *conn {
+// without closing it. A connection that has carried a request with the id is left out: a late
+// response to that could not be told from the response to this one.
+func (p *idlePool) take(address, id string, retryable bool, now time.Time) *conn {
 	longest := p.maxIdleFor(retryable, now)
 	for {
-		c := p.pop(address, now.Add(-longest))
+		c := p.pop(address, id, now.Add(-longest))
 		if c == nil {
 			return nil
 		}
@@ -128,18 +144,19 @@
 	return limit
 }
 
-// pop removes and returns the connection that became idle last, or nil if it did
-// so before the given time.
-func (p *idlePool) pop(address string, since time.Time) *conn {
+// pop removes and returns the connection that became idle last of those that did so after the given
+// time and have not carried the id, or nil.
+func (p *idlePool) pop(address, id string, since time.Time) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.conns[address]
-	if len(list) == 0 || list[len(list)-1].idleSince.Before(since) {
-		return nil
+	for i := len(list) - 1; i >= 0 && !list[i].idleSince.Before(since); i-- {
+		if c := list[i]; !slices.Contains(c.carried, id) {
+			p.conns[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.conns[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put adds a connection whose response was read in full. keepAlive is the time
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,6 +85,7 @@
 	if err != nil {
 		return nil, &Error{err: fmt.Errorf("connect to %s: %w", address, err)}
 	}
+	c.carry(r.Header.Get(RequestIDHeader))
 	resp := &Response{dialer: d, address: address, conn: c, written: make(chan error, 1)}
 	resp.stop = context.AfterFunc(ctx, func() { c.Close() })
 	sent := time.Now()
@@ -123,8 +126,9 @@
 func (d *Dialer) connect(ctx context.Context, address string, r *Request) (*conn, error) {
 	now := time.Now()
 	d.idle.closeExpired(now)
-	if !r.NewConnection {
-		if c := d.idle.take(address, r.Retryable, now); c != nil {
+	// Without an id a late response could not be told from the request's own.
+	if id := r.Header.Get(RequestIDHeader); !r.NewConnection && id != "" {
+		if c := d.idle.take(address, id, r.Retryable, now); c != nil {
 			return c, nil
 		}
 	}
@@ -188,13 +192,16 @@
 
 // discardIfLate reports whether the response belongs to an earlier request on the
 // same connection, and discards its body in that case. It fails with ErrMismatched
-// if the response belongs to no request on the connection. An error response without a
-// request id is taken for the request's own, since a target may reject a request
-// before it has read the id.
+// if it is not certain which request the response belongs to. On a new connection, an error
+// response without a request id is taken for the request's own, since a target may reject a
+// request before it has read the id; on a reused one it may be a late one.
 func (resp *Response) discardIfLate(r *Request, response *http.Response) (bool, error) {
 	sent := r.Header.Get(RequestIDHeader)
 	got := response.Header.Get(RequestIDHeader)
-	if got == sent || got == "" && response.StatusCode >= http.StatusBadRequest {
+	if resp.conn.reused && (len(response.Header[RequestIDHeader]) > 1 || holdsHead(response)) {
+		return false, ErrMismatched
+	}
+	if got == sent || got == "" && response.StatusCode >= http.StatusBadRequest && !resp.conn.reused {
 		return false, nil
 	}
 	if !resp.conn.reused || got == "" {
@@ -210,6 +217,23 @@
 	return true, nil
 }
 
+// statusLine matches the start of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// holdsHead reports whether the status line or a header of the response holds the start of another
+// response. A late response that was cut may be continued by the next one.
+func holdsHead(response *http.Response) bool {
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for name, values := range response.Header {
+		if statusLine.MatchString(name) || slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // keepAliveOf returns the keep-alive time that the target announces, 0 if it announces
 // none, or a negative time if it closes the connection.
 func keepAliveOf(response *http.Response) time.Duration {
