See the framing of requests that arrive together

Cause: the header of a request was recorded from the first read after the response to the one before. What had arrived in an earlier read, and what ends its lines with a bare line feed, was not seen.

Change: the recorder follows the bodies on the connection and keeps a short record of each header, which must match the request that net/http hands over; behind a contradictory framing it records nothing more, and such a request gets a 400 and ends the connection. Sound requests that arrive together are served as before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -177,6 +178,37 @@
 	require.Empty(t, f.targets[0].Seen())
 }
 
+// Guards against a request with both framings that arrives in the same read as the one before it: the request
+// hidden in its body ran. Sound requests that arrive together are all served.
+func TestAmbiguousFramingOfPipelinedRequest(t *testing.T) {
+	for _, end := range []string{"\r\n", "\n"} {
+		for _, first := range []string{"GET /open/0 HTTP/1.1\r\n%s\r\n", "POST /open/0 HTTP/1.1\r\nContent-Length: 2\r\n%s\r\nhi", "POST /open/0 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n2\r\nhi\r\n0\r\n\r\n"} {
+			f := newFixture(t, 1)
+			connection, err := net.Dial("tcp", f.address)
+			require.NoError(t, err)
+			defer connection.Close()
+			sound := func(id string) string {
+				return fmt.Sprintf(first, "Host: desk.example\r\nX-Request-Id: "+id+"\r\n")
+			}
+			hidden := strings.ReplaceAll("GET /open/hidden HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: hidden\r\n\r\n", "\r\n", end)
+			outer := fmt.Sprintf("POST /open/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: outer\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n", 5+len(hidden))
+			_, err = fmt.Fprintf(connection, "%s%s%s0\r\n\r\n%s", sound("one"), sound("two"), strings.ReplaceAll(outer, "\r\n", end), hidden)
+			require.NoError(t, err)
+			reader := bufio.NewReader(connection)
+			for _, status := range []int{200, 200, 400} {
+				response, err := http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+				require.Equal(t, status, response.StatusCode)
+				_, err = io.Copy(io.Discard, response.Body)
+				require.NoError(t, err)
+			}
+			_, err = io.ReadAll(reader)
+			require.NoError(t, err, "the connection is closed")
+			require.Equal(t, []int{1, 1, 0, 0}, []int{f.runs("one"), f.runs("two"), f.runs("outer"), f.runs("hidden")})
+		}
+	}
+}
+
 // TestDisconnectCancels checks that a caller's disconnecting cancels the request at
 // the target that runs it.
 func TestDisconnectCancels(t *testing.T) {
--- a/gateway/headerrecorder.go
+++ b/gateway/headerrecorder.go
@@ -4,18 +4,28 @@
 	"bytes"
 	"context"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 )
 
-// A headerRecorder is a connection that records the raw header of the current
-// request, to detect request smuggling. Of two contradicting framings net/http
-// silently prefers one. A target or a load balancer may prefer the other and take
-// a part of the body for a request.
+// A headerRecorder is a connection that records how each request on it is framed, to detect request
+// smuggling. Of two contradicting framings net/http silently prefers one. A target or a load balancer may
+// prefer the other and take a part of the body for a request. Requests may arrive together, so
+// that the recorder follows their bodies too.
 type headerRecorder struct {
 	net.Conn
-	mutex    sync.Mutex
-	header   []byte
-	complete bool
+	mutex   sync.Mutex
+	parser  framingParser
+	headers []requestHeader
+}
+
+// A requestHeader is what is recorded of the header of a request.
+type requestHeader struct {
+	// line is the request line.
+	line string
+	// framings counts the lines that frame the body: Content-Length or Transfer-Encoding.
+	framings int
 }
 
 // recorderKey is the context key of a connection's headerRecorder.
@@ -37,64 +47,166 @@
 	return context.WithValue(ctx, recorderKey{}, c)
 }
 
-// headerRecorderFrom returns the recorder of the request's connection, or an empty
-// one if the connection has none.
-func headerRecorderFrom(ctx context.Context) *headerRecorder {
-	if r, ok := ctx.Value(recorderKey{}).(*headerRecorder); ok {
-		return r
-	}
-	return &headerRecorder{}
-}
-
-// Read reads from the connection and records what belongs to the header.
+// Read reads from the connection and records the headers.
 func (r *headerRecorder) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	if n > 0 {
-		r.record(b[:n])
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.headers = append(r.headers, r.parser.parse(b[:n])...)
 	}
 	return n, err
 }
 
-func (r *headerRecorder) record(b []byte) {
+// nextHeader returns the header of the next request on the connection of the context, in the order of their
+// arrival, and whether it was recorded.
+func nextHeader(ctx context.Context) (requestHeader, bool) {
+	r, ok := ctx.Value(recorderKey{}).(*headerRecorder)
+	if !ok {
+		return requestHeader{}, false
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.complete {
-		return
-	}
-	start := max(0, len(r.header)-len(headerEnd)+1)
-	r.header = append(r.header, b...)
-	if end := bytes.Index(r.header[start:], headerEnd); end >= 0 {
-		r.header = r.header[:start+end+len(headerEnd)]
-		r.complete = true
+	if len(r.headers) == 0 {
+		return requestHeader{}, false
 	}
-	if len(r.header) > maxHeaderBytes {
-		r.complete = true
+	header := r.headers[0]
+	r.headers = r.headers[1:]
+	return header, true
+}
+
+// belongsTo reports whether the header is that of a request with the method and target.
+func (h requestHeader) belongsTo(method, target string) bool {
+	return strings.HasPrefix(h.line, method+" "+target+" HTTP/")
+}
+
+// A framingParser splits the bytes of a connection into requests. It stops at the first request whose framing
+// is contradictory or not valid, since where the next one begins is then not certain.
+type framingParser struct {
+	state framingState
+	// line is the start of a line whose end has not arrived.
+	line   []byte
+	header requestHeader
+	// length is the announced length of the body, and left what is left of the body or of a chunk.
+	length, left int64
+	chunked      bool
+}
+
+type framingState int
+
+const (
+	inHeader framingState = iota
+	inBody
+	inChunkSize
+	inChunk
+	inTrailer
+	stopped
+)
+
+// chunkEndBytes is the length of the line end after the data of a chunk.
+const chunkEndBytes = 2
+
+// parse reads the next bytes and returns the headers that end in them.
+func (p *framingParser) parse(b []byte) (headers []requestHeader) {
+	for len(b) > 0 && p.state != stopped {
+		if p.state == inBody || p.state == inChunk {
+			b = p.skip(b)
+			continue
+		}
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 {
+			p.line = append(p.line, b...)
+			if len(p.line) > maxHeaderBytes {
+				p.state = stopped
+			}
+			return headers
+		}
+		line := string(bytes.TrimRight(append(p.line, b[:end]...), "\r"))
+		p.line, b = p.line[:0], b[end+1:]
+		if p.endLine(line) {
+			headers = append(headers, p.header)
+			p.beginBody()
+		}
 	}
+	return headers
 }
 
-var headerEnd = []byte("\r\n\r\n")
+// skip skips bytes of a body or chunk and returns the rest.
+func (p *framingParser) skip(b []byte) []byte {
+	n := min(p.left, int64(len(b)))
+	p.left -= n
+	if p.left == 0 {
+		p.state = inHeader
+		if p.chunked {
+			p.state = inChunkSize
+		}
+	}
+	return b[n:]
+}
 
-// reset prepares the recorder for the next header.
-func (r *headerRecorder) reset() {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.header, r.complete = r.header[:0], false
+// endLine handles a line, without its end. It returns true at the end of a header.
+func (p *framingParser) endLine(line string) bool {
+	switch p.state {
+	case inHeader:
+		return p.endHeaderLine(line)
+	case inChunkSize:
+		p.beginChunk(line)
+	case inTrailer:
+		if line == "" {
+			p.state = inHeader
+		}
+	}
+	return false
 }
 
-// ambiguousFraming reports whether the header has more than one line that frames
-// the body: Content-Length or Transfer-Encoding.
-func (r *headerRecorder) ambiguousFraming() bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	lengths, codings := 0, 0
-	for line := range bytes.SplitSeq(r.header, []byte("\r\n")) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		switch string(bytes.ToLower(bytes.TrimSpace(name))) {
-		case "content-length":
-			lengths++
-		case "transfer-encoding":
-			codings++
+func (p *framingParser) endHeaderLine(line string) bool {
+	if p.header.line == "" {
+		p.header, p.length, p.chunked = requestHeader{line: line}, 0, false
+		return false
+	}
+	if line == "" {
+		return true
+	}
+	name, value, _ := strings.Cut(line, ":")
+	switch strings.ToLower(strings.TrimSpace(name)) {
+	case "content-length":
+		p.header.framings++
+		length, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+		if err != nil || length < 0 {
+			p.state = stopped
 		}
+		p.length = length
+	case "transfer-encoding":
+		p.header.framings++
+		p.chunked = true
+	}
+	return false
+}
+
+// beginBody follows a header.
+func (p *framingParser) beginBody() {
+	framings := p.header.framings
+	p.header = requestHeader{}
+	switch {
+	case framings > 1:
+		p.state = stopped
+	case p.chunked:
+		p.state = inChunkSize
+	case p.length > 0:
+		p.state, p.left = inBody, p.length
+	}
+}
+
+// beginChunk handles the line with the size of a chunk.
+func (p *framingParser) beginChunk(line string) {
+	digits, _, _ := strings.Cut(line, ";")
+	size, err := strconv.ParseInt(strings.TrimSpace(digits), 16, 63)
+	switch {
+	case err != nil || size < 0:
+		p.state = stopped
+	case size == 0:
+		p.state = inTrailer
+	default:
+		p.state, p.left = inChunk, size+chunkEndBytes
 	}
-	return lengths+codings > 1
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -190,14 +190,13 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
-	recorder := headerRecorderFrom(r.Context())
-	defer recorder.reset()
+	header, recorded := nextHeader(r.Context())
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if recorder.ambiguousFraming() {
+	if failure := checkFraming(r, header, recorded); failure != nil {
 		w.Header().Set("Connection", "close")
-		refuse(http.StatusBadRequest, "bad_request", "the request has more than one Content-Length or Transfer-Encoding header").write(w, "")
+		failure.write(w, "")
 		return
 	}
 	c, failure := s.prepare(w, r)
@@ -208,3 +207,15 @@
 	}
 	c.serve()
 }
+
+// checkFraming returns the refusal of a request whose body may be taken for another request by those who forward or
+// run it, or nil.
+func checkFraming(r *http.Request, header requestHeader, recorded bool) *failure {
+	switch {
+	case header.framings > 1:
+		return refuse(http.StatusBadRequest, "bad_request", "the request has more than one Content-Length or Transfer-Encoding header")
+	case !recorded || !header.belongsTo(r.Method, r.RequestURI):
+		return refuse(http.StatusBadRequest, "bad_request", "it is not certain where the request begins on its connection")
+	}
+	return nil
+}
