--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -60,7 +60,8 @@
 	if r.Timeout <= 0 {
 		add("timeout", "must be more than 0")
 	}
-	totalWeight := 0
+	// Sums of weights are floats, which do not overflow.
+	totalWeight := 0.0
 	for _, share := range r.Shares {
 		if s.services[share.Service] == nil {
 			add("shares", "service %q is not known", share.Service)
@@ -68,10 +69,10 @@
 		if share.Weight < 0 {
 			add("shares", "the weight of %q is below 0", share.Service)
 		}
-		totalWeight += share.Weight
+		totalWeight += float64(share.Weight)
 	}
 	if totalWeight <= 0 {
-		add("shares", "the weights add up to %d", totalWeight)
+		add("shares", "the weights add up to %g", totalWeight)
 	}
 	host := strings.ToLower(r.Host)
 	byPrefix := s.routes[host]
@@ -159,11 +160,11 @@
 // ChooseService returns the service for a request, drawn by the weights of the
 // route's shares. draw is in [0, 1).
 func (r *Route) ChooseService(draw float64) string {
-	total := 0
+	total := 0.0
 	for _, share := range r.Shares {
-		total += share.Weight
+		total += float64(share.Weight)
 	}
-	remaining := draw * float64(total)
+	remaining := draw * total
 	for _, share := range r.Shares {
 		remaining -= float64(share.Weight)
 		if remaining < 0 {
--- a/origin/finder.go
+++ b/origin/finder.go
@@ -87,12 +87,12 @@
 }
 
 func decodeAnswer(answer *peer.OriginAnswer) Evidence {
-	e := Evidence{Covered: time.Duration(answer.CoveredMs) * time.Millisecond}
+	e := Evidence{Covered: peer.Age(answer.CoveredMs)}
 	for _, g := range answer.Origins {
 		e.Origins = append(e.Origins, Origin{Service: g.Service, Software: g.Software})
 	}
 	for _, s := range answer.History {
-		e.History = append(e.History, Seen{Origin{Service: s.Service, Software: s.Software}, time.Duration(s.AgeMs) * time.Millisecond})
+		e.History = append(e.History, Seen{Origin{Service: s.Service, Software: s.Software}, peer.Age(s.AgeMs)})
 	}
 	return e
 }
--- a/peer/name.go
+++ b/peer/name.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
+	"time"
 	"unicode"
 	"unicode/utf8"
 )
@@ -37,3 +39,13 @@
 	}
 	return strings.ToValidUTF8(text, "")
 }
+
+// MaxMilliseconds bounds the times and ages that other instances state. Sums of two larger ones overflow a
+// duration.
+const MaxMilliseconds = math.MaxInt64 / 2 / int64(time.Millisecond)
+
+// Age returns an age in milliseconds that another instance states as a duration, within 0 and
+// MaxMilliseconds.
+func Age(ms int64) time.Duration {
+	return time.Duration(min(max(0, ms), MaxMilliseconds)) * time.Millisecond
+}
--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -346,7 +346,7 @@
 func (b *Blocks) merge(list []*peer.SuspectBlock, own bool) {
 	now := b.now()
 	for _, s := range list {
-		at := now - millis(s.AgeMs)
+		at := now - peer.Age(s.AgeMs)
 		if s.Released {
 			b.release(s, at)
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -114,7 +114,7 @@
 		e.recordCrash(r, now)
 	}
 	for _, s := range report.Sound {
-		e.recordSound(s.Block, now-millis(s.AgeMs))
+		e.recordSound(s.Block, now-peer.Age(s.AgeMs))
 	}
 	for _, q := range report.Quarantined {
 		e.adopt(q, now)
@@ -178,7 +178,7 @@
 }
 
 func (e *Evidence) recordCrash(r *peer.CrashedRequest, now time.Duration) {
-	at := now - millis(r.AgeMs)
+	at := now - peer.Age(r.AgeMs)
 	if now-at > evidenceTTL {
 		return
 	}
@@ -291,7 +291,7 @@
 
 // adopt takes over a quarantined block that an instance knows from another control instance.
 func (e *Evidence) adopt(q *peer.SuspectBlock, now time.Duration) {
-	at := now - millis(q.AgeMs)
+	at := now - peer.Age(q.AgeMs)
 	known := e.verdicts[q.Block]
 	if now-at > verdictTTL || known == nil && len(e.verdicts) >= maxVerdicts || known != nil && known.quarantined && known.crashes >= int(q.Crashes) {
 		return
@@ -304,5 +304,3 @@
 		e.release(q.Block, v, "served")
 	}
 }
-
-func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -57,7 +57,7 @@
 	if !ok || listed.Released || served <= view.told[listed.Block] {
 		return false
 	}
-	return !listed.Proven || served > view.at-millis(listed.AgeMs)
+	return !listed.Proven || served > view.at-peer.Age(listed.AgeMs)
 }
 
 // missingFrom returns the blocks that another control instance quarantined and this one does not
@@ -82,10 +82,10 @@
 	view := b.view(server)
 	view.received = max(view.received, position)
 	for _, s := range report.Sound {
-		view.told[s.Block] = now - millis(s.AgeMs)
+		view.told[s.Block] = now - peer.Age(s.AgeMs)
 	}
 	for _, q := range report.Quarantined {
-		view.told[q.Block] = now - millis(q.AgeMs)
+		view.told[q.Block] = now - peer.Age(q.AgeMs)
 	}
 }
 
--- a/roster/check.go
+++ b/roster/check.go
@@ -3,15 +3,10 @@
 import (
 	"errors"
 	"fmt"
-	"math"
-	"time"
 
 	"auburnscale/peer"
 )
 
-// maxMilliseconds bounds the times and ages in a row. Larger ones overflow a duration.
-const maxMilliseconds = math.MaxInt64 / int64(time.Millisecond)
-
 var errFull = errors.New("there is no room for another target")
 
 // Check returns an error if a heartbeat or deregistration cannot come from the target that it names:
@@ -74,7 +69,7 @@
 		{"slots", int64(row.Slots)}, {"born_ms", row.BornMs}, {"cold_ms", int64(row.ColdMs)}, {"ended_ms", row.EndedMs},
 		{"age_ms", row.AgeMs}, {"away_ms", row.AwayMs}, {"draining_ms", row.DrainingMs},
 	} {
-		if field.value < 0 || field.value > maxMilliseconds {
+		if field.value < 0 || field.value > peer.MaxMilliseconds {
 			return fmt.Errorf("target %q: %s %d is out of range", row.Id, field.name, field.value)
 		}
 	}
--- a/roster/merge.go
+++ b/roster/merge.go
@@ -174,7 +174,7 @@
 func (r *Roster) mergeDraining(row *peer.TargetRow) {
 	e := r.entries[row.Id]
 	if row.DrainingMs > 0 && e != nil && e.row.BornMs == row.BornMs {
-		e.drainingSince = min(e.drainingSince, r.now()-time.Duration(row.DrainingMs)*time.Millisecond)
+		e.drainingSince = min(e.drainingSince, r.now()-peer.Age(row.DrainingMs))
 	}
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		r.confirmLeaving(row)
-		r.merge(row, time.Duration(row.AgeMs)*time.Millisecond)
+		r.merge(row, peer.Age(row.AgeMs))
 		r.mergeSwitching(row)
 		r.mergeDraining(row)
 	}
@@ -226,7 +226,7 @@
 func (r *Roster) mergeSwitching(row *peer.TargetRow) {
 	e := r.entries[row.Id]
 	if row.AwayMs > 0 && e != nil && e.row.Stage == row.Stage && e.row.BornMs == row.BornMs && e.row.State != peer.TargetRow_GONE {
-		r.extendSwitching(e, r.now()+time.Duration(row.AwayMs)*time.Millisecond)
+		r.extendSwitching(e, r.now()+peer.Age(row.AwayMs))
 	}
 }
 
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"time"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
@@ -83,6 +84,10 @@
 // error the document may or may not be committed.
 func (c *Control) Replace(ctx context.Context, document []byte) error {
 	_, version, err := decodeBody(document)
+	if err == nil && !utf8.Valid(document) {
+		// Checked here only: a document that is committed must be read as it always was.
+		err = errNotUTF8
+	}
 	if err != nil {
 		c.logger.Log(event.DocumentRefused, zap.Uint64("version", version), zap.Error(err))
 		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
@@ -103,6 +108,8 @@
 	return nil
 }
 
+var errNotUTF8 = errors.New("the configuration is not UTF-8")
+
 var errNoConfiguration = errors.New("no configuration has been committed yet")
 
 // Current returns the configuration document in effect, or an error if there is
--- a/serve/poisoned_state_test.go
+++ b/serve/poisoned_state_test.go
@@ -172,3 +172,24 @@
 	}
 	f.await("the entry instance is cut off, but not behind", ready(http.StatusOK))
 }
+
+// TestUnreadableConfigurationIsRefused sends configurations that cannot be read in full: they are refused, and
+// nothing of them is in effect.
+func TestUnreadableConfigurationIsRefused(t *testing.T) {
+	f, _ := newServingFleet(t)
+	valid := f.document(4, "/other/")
+	for name, text := range map[string]string{
+		"not UTF-8":   strings.Replace(valid, `"guild"`, "\"gu\xff\"", 1),
+		"too deep":    strings.Replace(valid, `"services"`, `"more":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)+`,"services"`, 1),
+		"two":         valid + valid,
+		"number":      strings.Replace(valid, `"version":4`, `"version":1e40`, 1),
+		"negative":    strings.Replace(valid, `"version":4`, `"version":-4`, 1),
+		"not a whole": strings.Replace(valid, `"attempts":1`, `"attempts":1.5`, 1),
+	} {
+		status, body, err := f.call(http.MethodPost, f.address(1, fleetOperatorPort), "/Config.Replace", text)
+		require.NoError(t, err, name)
+		require.Equal(t, http.StatusBadRequest, status, "%s: %s", name, body)
+	}
+	f.awaitRead(2, 1, "/orders/")
+	f.awaitServed(10, "/orders/")
+}
--- a/watch/server.go
+++ b/watch/server.go
@@ -210,7 +210,7 @@
 			s.suspicions[each.Fingerprint] = bySource
 		}
 		grown := each.Crashes > bySource[request.Incarnation].crashes
-		bySource[request.Incarnation] = crashReport{each.Crashes, now - time.Duration(each.AgeMs)*time.Millisecond}
+		bySource[request.Incarnation] = crashReport{each.Crashes, now - peer.Age(each.AgeMs)}
 		changed = changed || grown && crashesOf(bySource) >= urgentCrashes
 	}
 	if changed {
