An instance out of step does not decide by itself what began a stream

Cause: if no record was found, one version in what the instance itself and whoever answered knew was enough. An instance that is out of step, alone or with a control instance beside it, does not know what joined since.

Change: nothing on record, a stream goes on only if every known control instance could be asked. The instance's own history counts only if none of them has one. A release without the call counts as asked.

TestDecide has the cases.

--- a/origin/decide.go
+++ b/origin/decide.go
@@ -19,8 +19,8 @@
 	Several Reason = "several"
 	// Disputed means that there are records of several origins.
 	Disputed Reason = "disputed"
-	// NotCovered means that nothing is on record, and that it is not known for long enough
-	// which software served.
+	// NotCovered means that nothing is on record, and that it is not known for long enough, or by
+	// every control instance, which software served.
 	NotCovered Reason = "not_covered"
 )
 
@@ -58,12 +58,18 @@
 	Age time.Duration
 }
 
-// Decide returns what may continue a stream that began at most span ago, by the evidence of several
-// instances.
-func Decide(evidence []Evidence, span time.Duration) Decision {
+// Decide returns what may continue a stream that began at most span ago, by the evidence of this
+// instance and the answers of control instances. complete is true if every control instance that is
+// known could be asked. Without that, this instance, and those that answered, may be out of step, and
+// that they know of one version only does not show that there is no other. For the same reason this
+// instance's own history counts only if no control instance has one.
+func Decide(own Evidence, answers []Evidence, complete bool, span time.Duration) Decision {
 	var recorded, possible []Origin
-	covered := false
-	for _, e := range evidence {
+	covered := len(answers) == 0 && own.Covered >= span
+	for _, e := range answers {
+		covered = covered || e.Covered >= span
+	}
+	for _, e := range append(answers, own) {
 		for _, o := range e.Origins {
 			recorded = appendNew(recorded, o)
 		}
@@ -72,7 +78,6 @@
 				possible = appendNew(possible, s.Origin)
 			}
 		}
-		covered = covered || e.Covered >= span
 	}
 	switch {
 	case len(recorded) == 1 && recorded[0] != disputed:
@@ -81,7 +86,7 @@
 		return Decision{reason: Disputed}
 	case len(possible) > 1:
 		return Decision{reason: Several}
-	case len(possible) == 0 || !covered:
+	case len(possible) == 0 || !covered || !complete:
 		return Decision{reason: NotCovered}
 	}
 	return Decision{origin: possible[0], reason: Single}
--- a/origin/finder.go
+++ b/origin/finder.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"auburnscale/peer"
 )
 
@@ -43,31 +46,41 @@
 // at a target of one of the services. A hash of 0 stands for a request that is not known. It asks every
 // control instance: one may have the record alone, and two records may differ.
 func (f *Finder) Find(ctx context.Context, hash uint64, services []string, span time.Duration) Decision {
-	evidence := []Evidence{f.own(hash, services)}
+	var answers []Evidence
 	addresses := f.addresses()
 	question := &peer.OriginQuestion{Request: hash, Services: services}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var mutex sync.Mutex
 	var group sync.WaitGroup
+	asked := 0
 	for _, address := range addresses {
 		group.Go(func() {
-			// An instance that does not answer, or is of a release without this call, adds no evidence.
 			answer, err := f.dialer.Peer(address).FindOrigin(ctx, question)
-			if err != nil {
-				return
-			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			evidence = append(evidence, decodeAnswer(answer))
+			switch {
+			case err == nil:
+				asked++
+				answers = append(answers, decodeAnswer(answer))
+			case isUnknownCall(err):
+				// An instance of a release without this call adds no evidence.
+				asked++
+			}
 		})
 	}
 	group.Wait()
-	d := Decide(evidence, span)
-	d.conclusive = len(evidence) > len(addresses)
+	d := Decide(f.own(hash, services), answers, asked == len(addresses), span)
+	d.conclusive = len(answers) == len(addresses)
 	return d
 }
 
+// isUnknownCall reports whether the error is the answer of an instance that does not know the call.
+func isUnknownCall(err error) bool {
+	var answer twirp.Error
+	return errors.As(err, &answer) && answer.Code() == twirp.BadRoute
+}
+
 func (f *Finder) own(hash uint64, services []string) Evidence {
 	e := Evidence{}
 	if o, found := f.journal.Find(hash); found {
--- a/origin/fleet_test.go
+++ b/origin/fleet_test.go
@@ -22,10 +22,12 @@
 	at       time.Duration
 	domains  int
 	cut      int // the failure domain that is cut off, or -1
+	cutAt    time.Duration
 	entries  []*simulatedEntry
 	controls []*simulatedControl
-	// serving holds the versions that serve, and ended when others stopped.
+	// serving holds the versions that serve, since when each serves, and ended when others stopped.
 	serving []string
+	since   map[string]time.Duration
 	ended   map[string]time.Duration
 	streams []*simulatedStream
 	ids     uint64
@@ -45,6 +47,9 @@
 	started time.Duration
 	control *simulatedControl
 	life    int
+	// alone is true while the instance is cut off from all others, or stands still, since aloneAt.
+	alone   bool
+	aloneAt time.Duration
 }
 
 type simulatedControl struct {
@@ -84,7 +89,7 @@
 func originOf(version string) Origin { return Origin{simulatedService, Software(version, "", 0)} }
 
 func newSimulation(t *testing.T, entries, controls, domains int, seed uint64) *simulation {
-	s := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 1)), domains: domains, cut: -1, serving: []string{"v1"}, ended: map[string]time.Duration{}}
+	s := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 1)), domains: domains, cut: -1, serving: []string{"v1"}, since: map[string]time.Duration{}, ended: map[string]time.Duration{}}
 	for n := range controls {
 		c := &simulatedControl{sim: s, number: n, domain: n % domains}
 		c.start()
@@ -113,22 +118,48 @@
 // reachable reports whether two failure domains reach each other.
 func (s *simulation) reachable(a, b int) bool { return a == b || s.cut != a && s.cut != b }
 
-// seen is what an instance that started then knows of the software that served.
-func (s *simulation) seen(started time.Duration) ([]Seen, time.Duration) {
+// seen is what an instance knows of the software that served, if it started then and has had no news since
+// the time until.
+func (s *simulation) seen(started, until time.Duration) ([]Seen, time.Duration) {
 	var list []Seen
 	for _, v := range s.serving {
-		list = append(list, Seen{originOf(v), 0})
+		if s.since[v] <= until {
+			list = append(list, Seen{originOf(v), 0})
+		}
 	}
 	for v, at := range s.ended {
-		if at >= started {
+		switch {
+		case at > until && s.since[v] <= until:
+			list = append(list, Seen{originOf(v), 0})
+		case at >= started && at <= until:
 			list = append(list, Seen{originOf(v), s.at - at})
 		}
 	}
 	return list, s.at - started
 }
 
-func (e *simulatedEntry) SoftwareSeen(string) ([]Seen, time.Duration)   { return e.sim.seen(e.started) }
-func (c *simulatedControl) SoftwareSeen(string) ([]Seen, time.Duration) { return c.sim.seen(c.started) }
+// newsUntil returns until when an instance of the failure domain has news.
+func (s *simulation) newsUntil(domain int) time.Duration {
+	if s.cut == domain {
+		return s.cutAt
+	}
+	return s.at
+}
+
+func (e *simulatedEntry) newsUntil() time.Duration {
+	if e.alone {
+		return e.aloneAt
+	}
+	return e.sim.newsUntil(e.domain)
+}
+
+func (e *simulatedEntry) SoftwareSeen(string) ([]Seen, time.Duration) {
+	return e.sim.seen(e.started, e.newsUntil())
+}
+
+func (c *simulatedControl) SoftwareSeen(string) ([]Seen, time.Duration) {
+	return c.sim.seen(c.started, c.sim.newsUntil(c.domain))
+}
 
 var errUnreachable = errors.New("unreachable")
 
@@ -140,7 +171,7 @@
 }
 
 func (a asking) FindOrigin(_ context.Context, q *peer.OriginQuestion) (*peer.OriginAnswer, error) {
-	if !a.entry.sim.reachable(a.entry.domain, a.control.domain) {
+	if a.entry.alone || !a.entry.sim.reachable(a.entry.domain, a.control.domain) {
 		return nil, errUnreachable
 	}
 	return Answer(a.control.index, a.control, q), nil
@@ -167,7 +198,7 @@
 func (e *simulatedEntry) report() {
 	var to *simulatedControl
 	for _, c := range e.sim.controls {
-		if e.sim.reachable(e.domain, c.domain) && (to == nil || c.domain == e.domain && to.domain != e.domain) {
+		if !e.alone && e.sim.reachable(e.domain, c.domain) && (to == nil || c.domain == e.domain && to.domain != e.domain) {
 			to = c
 		}
 	}
@@ -199,7 +230,14 @@
 	}
 }
 
-func (s *simulation) version() string { return s.serving[s.random.IntN(len(s.serving))] }
+// version returns a version that serves, of which an instance with news until then knows.
+func (s *simulation) version(until time.Duration) string {
+	for {
+		if v := s.serving[s.random.IntN(len(s.serving))]; s.since[v] <= until || s.since[s.serving[0]] > until {
+			return v
+		}
+	}
+}
 
 // begin sends a new request to a target. Some ids repeat, and some requests go to another version
 // before their first event.
@@ -207,13 +245,13 @@
 	entry := s.random.IntN(len(s.entries))
 	e := s.entries[entry]
 	s.ids++
-	stream := &simulatedStream{hash: s.ids * 0x9e3779b97f4a7c15, version: s.version(), entry: entry, sentAt: s.at, life: e.life}
+	stream := &simulatedStream{hash: s.ids * 0x9e3779b97f4a7c15, version: s.version(e.newsUntil()), entry: entry, sentAt: s.at, life: e.life}
 	if len(s.streams) > 0 && s.random.IntN(200) == 0 {
 		other := s.streams[s.random.IntN(len(s.streams))]
 		stream.hash, stream.repeated, other.repeated = other.hash, true, true
 	}
 	if s.random.IntN(20) == 0 {
-		stream.second = s.version()
+		stream.second = s.version(e.newsUntil())
 	}
 	stream.eventAt = s.at + time.Duration(s.random.IntN(400))*time.Millisecond
 	stream.brokenAt = stream.eventAt + time.Duration(s.random.IntN(900))*time.Millisecond
@@ -256,7 +294,8 @@
 	finder := NewFinder(e.journal, e, e.addresses, e)
 	decision := finder.Find(context.Background(), stream.hash, []string{simulatedService}, 30*time.Second)
 	o, known := decision.Origin()
-	calm := s.cut < 0 && s.at-s.faultAt > inTouch && !stream.repeated
+	// The records of an instance that is cut off are with it alone.
+	calm := s.cut < 0 && !e.alone && !s.entries[stream.entry].alone && s.at-s.faultAt > inTouch && !stream.repeated
 	switch {
 	case !known:
 		s.refused++
@@ -303,7 +342,9 @@
 	}
 }
 
-func (s *simulation) release(version string) { s.serving = append(s.serving, version) }
+func (s *simulation) release(version string) {
+	s.serving, s.since[version] = append(s.serving, version), s.at
+}
 
 func (s *simulation) retire() {
 	if len(s.serving) > 1 {
@@ -325,7 +366,7 @@
 			for range 3000 {
 				s.step(size.requests, func() {
 					kind := s.random.IntN(3000)
-					if kind >= 2 && kind <= 9 {
+					if kind >= 2 && kind <= 14 {
 						s.faultAt = s.at
 					}
 					switch kind {
@@ -343,9 +384,16 @@
 					case 6:
 						s.controls[s.random.IntN(len(s.controls))].start()
 					case 7:
-						s.cut = s.random.IntN(s.domains)
+						s.cut, s.cutAt = s.random.IntN(s.domains), s.at
 					case 8, 9:
 						s.cut = -1
+					case 10, 11, 12:
+						e := s.entries[s.random.IntN(len(s.entries))]
+						e.alone, e.aloneAt = true, s.at
+					case 13, 14:
+						for _, e := range s.entries {
+							e.alone = false
+						}
 					}
 				})
 			}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 
 	"auburnscale/peer"
 )
@@ -185,7 +185,7 @@
 	}
 	answer := Answer(NewIndex((&testClock{}).now), fixedHistory(many), &peer.OriginQuestion{Request: 1, Services: []string{"lm"}})
 	require.Len(t, answer.History, maxHistory)
-	require.Equal(t, Several, Decide([]Evidence{decodeAnswer(answer)}, 30*time.Second).Reason())
+	require.Equal(t, Several, Decide(Evidence{}, []Evidence{decodeAnswer(answer)}, true, 30*time.Second).Reason())
 }
 
 // fixedHistory is a history that does not change.
@@ -201,7 +201,7 @@
 type refusingPeer struct{ peer.Peer }
 
 func (refusingPeer) FindOrigin(context.Context, *peer.OriginQuestion) (*peer.OriginAnswer, error) {
-	return nil, errors.New("no such call")
+	return nil, twirp.NewError(twirp.BadRoute, "no such call")
 }
 
 // TestControlInstancesOfAnEarlierRelease checks that an instance decides by what it knows itself if
@@ -247,10 +247,28 @@
 		"nothing serves":                     {[]Evidence{serves(span)}, Origin{}, NotCovered},
 		"a record of a version that is gone": {[]Evidence{has(old), serves(span, Seen{newer, 0})}, old, Recorded},
 	} {
-		d := Decide(c.evidence, span)
+		d := Decide(Evidence{}, c.evidence, true, span)
 		o, known := d.Origin()
 		require.Equal(t, c.origin, o, name)
 		require.Equal(t, c.origin != Origin{}, known, name)
 		require.Equal(t, c.reason, d.Reason(), name)
 	}
+	// What this instance knows itself.
+	one := serves(2*span, Seen{old, 0})
+	for name, c := range map[string]struct {
+		answers  []Evidence
+		complete bool
+		reason   Reason
+	}{
+		"no control instance knows the call":   {nil, true, Single},
+		"no control instance answers":          {nil, false, NotCovered},
+		"one does not answer":                  {[]Evidence{one, one}, false, NotCovered},
+		"all answer":                           {[]Evidence{one, serves(0)}, true, Single},
+		"all answer, and have just started":    {[]Evidence{serves(1, Seen{old, 0}), serves(0)}, true, NotCovered},
+		"one answers, and has a record":        {[]Evidence{has(old)}, false, Recorded},
+		"one answers, and knows of the other":  {[]Evidence{serves(span, both...)}, false, Several},
+		"this instance is the one out of step": {[]Evidence{serves(span, both...), serves(span, both...)}, true, Several},
+	} {
+		require.Equal(t, c.reason, Decide(one, c.answers, c.complete, span).Reason(), name)
+	}
 }
