Ask a target for its start on each connection that a resumable stream uses

A target had started again under its id with another version, and the entry instance, which had stood still or been cut off, or had simply not had its first heartbeat yet, recorded the stream with the earlier one.

Cause: the start of a target was known from heartbeats only, and asked for only after a failed connection. A kept connection that the target closed while the instance stood still is not a failed one.

Change: a new connection for such a stream carries a question for the start first (exchange.Identification). It leads to one process, so the answer holds until it ends; another start gets no request and its connections are closed. A target that does not say begins streams that go on nowhere. This replaces the question before a stream goes on, which could be out of date when the request was sent, and the doubt after a failed connection.

TestUnheardStartBeginsNoStreamWithoutAFailedConnection failed before (200 from the unheard start), and TestStreamOfATargetWithoutStartIsNotContinued.

--- a/exchange/idlepool.go
+++ b/exchange/idlepool.go
@@ -49,6 +49,9 @@
 	reusableUntil time.Time
 	// idleTime is how long the connection was idle before the current exchange.
 	idleTime time.Duration
+	// identified is true once the target was asked who it is, and identity is what it stated, or empty.
+	identified bool
+	identity   string
 	// carried holds the ids of the last requests on the connection, at most maxCarried.
 	carried []string
 }
@@ -85,14 +88,16 @@
 }
 
 // take removes and returns a usable idle connection to the address, or nil. It
-// takes the most recently used one, so that the others can expire. retryable says
-// whether the request can be retried if the target has dropped the connection
-// without closing it. A connection that has carried a request with the id is left out: a late
-// response to that could not be told from the response to this one.
-func (p *idlePool) take(address, id string, retryable bool, now time.Time) *conn {
-	longest := p.maxIdleFor(retryable, now)
+// takes the most recently used one, so that the others can expire. A connection that has carried
+// a request with the id is left out: a late response to that could not be told from the response
+// to this one. So is one on which the target was not asked who it is, if the request asks for that.
+func (p *idlePool) take(address, id string, r *Request, now time.Time) *conn {
+	longest := p.maxIdleFor(r.Retryable, now)
+	usable := func(c *conn) bool {
+		return !slices.Contains(c.carried, id) && (r.Identification == nil || c.identified && (c.identity != "" || !r.Identification.Required))
+	}
 	for {
-		c := p.pop(address, id, now.Add(-longest))
+		c := p.pop(address, usable, now.Add(-longest))
 		if c == nil {
 			return nil
 		}
@@ -144,14 +149,14 @@
 	return limit
 }
 
-// pop removes and returns the connection that became idle last of those that did so after the given
-// time and have not carried the id, or nil.
-func (p *idlePool) pop(address, id string, since time.Time) *conn {
+// pop removes and returns the usable connection that became idle last of those that did so after the given
+// time, or nil.
+func (p *idlePool) pop(address string, usable func(*conn) bool, since time.Time) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.conns[address]
 	for i := len(list) - 1; i >= 0 && !list[i].idleSince.Before(since); i-- {
-		if c := list[i]; !slices.Contains(c.carried, id) {
+		if c := list[i]; usable(c) {
 			p.conns[address] = slices.Delete(list, i, i+1)
 			return c
 		}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -31,6 +31,8 @@
 	// Retryable says that the request can be sent again. It may then use a
 	// connection that was idle for long.
 	Retryable bool
+	// Identification, if not nil, asks the target who it is, once for each connection.
+	Identification *Identification
 }
 
 // A Response is a target's response whose body may still be arriving. The target
@@ -122,16 +124,29 @@
 	}
 }
 
-// connect returns an idle connection for the request, or a new one.
+// connect returns an idle connection for the request, or a new one, to a target that has stated who it is if
+// the request asks for that.
 func (d *Dialer) connect(ctx context.Context, address string, r *Request) (*conn, error) {
 	now := time.Now()
 	d.idle.closeExpired(now)
 	// Without an id a late response could not be told from the request's own.
 	if id := r.Header.Get(RequestIDHeader); !r.NewConnection && id != "" {
-		if c := d.idle.take(address, id, r.Retryable, now); c != nil {
-			return c, nil
+		for c := d.idle.take(address, id, r, now); c != nil; c = d.idle.take(address, id, r, now) {
+			if r.Identification == nil || c.identity == "" || c.identity == r.Identification.Want {
+				return c, nil
+			}
+			// It leads to a start of the target that is not the expected one.
+			c.Close()
 		}
 	}
+	c, err := d.dial(ctx, address)
+	if err != nil || r.Identification == nil {
+		return c, err
+	}
+	return d.identify(ctx, address, c, r.Identification)
+}
+
+func (d *Dialer) dial(ctx context.Context, address string) (*conn, error) {
 	dialing, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	connection, err := d.net.DialContext(dialing, "tcp", address)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -61,9 +61,6 @@
 	if !c.permitted(p.DecodeTarget) || !c.maySend(p.DecodeTarget) {
 		return false, nil
 	}
-	if c.needsStart(p.DecodeTarget) && !c.sameStart(p.DecodeTarget) {
-		return false, nil
-	}
 	prefillTokens, source := p.PrefillTokens, c.kvSource
 	if source != "" {
 		prefillTokens = 0
@@ -106,9 +103,6 @@
 	if exchange.NotSent(err) {
 		t.RecordDecline(time.Now())
 	}
-	if exchange.NotSent(err) || exchange.ConnectionEnded(err) {
-		t.SetDoubtful(true)
-	}
 	if exchange.ConnectionEnded(err) || errors.Is(err, errIncompleteEvent) {
 		c.server.deps.Blocks.Crashed(t.Name(), strconv.FormatInt(t.Incarnation(), 10), c.suspects)
 	}
@@ -156,7 +150,7 @@
 	}
 	c.server.countSend(t, kind)
 	sent := clock.Now()
-	response, err := c.server.deps.Dialer.Send(ctx, t.Address(), c.request(d))
+	response, err := c.server.deps.Dialer.Send(ctx, t.Address(), c.request(t, d))
 	if err != nil {
 		return c.sendFailed(t, err)
 	}
@@ -192,6 +186,11 @@
 
 // sendFailed handles an error before the response's header was read.
 func (c *call) sendFailed(t *route.Target, err error) (bool, *failure) {
+	if errors.Is(err, exchange.ErrOtherIdentity) || errors.Is(err, exchange.ErrNoIdentity) {
+		c.excluded = append(c.excluded, t.Name())
+		c.server.logOtherStart(c, t, err)
+		return false, nil
+	}
 	if exchange.NotSent(err) {
 		c.recordError(t, err)
 		return false, nil
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -45,6 +45,8 @@
 	recorded *origin.Stream
 	origin   origin.Origin
 	began    *route.Target
+	// uncertain is true if it is not certain which start of a target began the stream.
+	uncertain bool
 
 	// excluded holds the names of the targets that further attempts must not use.
 	excluded []string
@@ -349,15 +351,19 @@
 }
 
 // request returns the request to send to a target.
-func (c *call) request(d Dispatch) *exchange.Request {
+func (c *call) request(t *route.Target, d Dispatch) *exchange.Request {
 	d.Workspace = c.workspaceName()
 	d.Remaining = time.Until(c.deadline)
 	d.Priority = c.priority()
-	return &exchange.Request{
+	r := &exchange.Request{
 		Method: c.http.Method, URI: c.http.URL.RequestURI(), Host: c.http.Host,
 		Header: c.server.deps.Codec.TargetHeader(c.http.Header, d), Body: c.body, NewConnection: c.route.RequestKind == catalog.NonIdempotent,
 		Retryable: d.PrefillOnly || c.route.RetrySafe(),
 	}
+	if !d.PrefillOnly {
+		r.Identification = c.identification(t)
+	}
+	return r
 }
 
 // callerDisconnected reports whether err was caused by the caller's disconnecting.
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"auburnscale/exchange"
 	"auburnscale/origin"
 	"auburnscale/route"
 )
@@ -16,8 +17,6 @@
 	// stream that is on no record goes on, and originSpanTimeouts the same in timeouts of the route.
 	minOriginSpan      = 30 * time.Second
 	originSpanTimeouts = 2
-	// startTimeout bounds how long a target is asked for its start.
-	startTimeout = 300 * time.Millisecond
 	// unknownOriginRetryAfter is the Retry-After of a stream that is on no record: its record may be
 	// under way, or at a control instance that did not answer.
 	unknownOriginRetryAfter = 300 * time.Millisecond
@@ -32,39 +31,28 @@
 
 // A StartAsker asks targets which start of them is running.
 type StartAsker interface {
-	// Incarnation returns the start of the target that runs at the address now, or 0 if the
-	// target states none.
-	Incarnation(ctx context.Context, target, address string) (int64, error)
+	// Identification returns the question which start of the target runs at the other end of a
+	// connection. It is meant for the incarnation, in Unix milliseconds.
+	Identification(target string, incarnation int64) *exchange.Identification
 }
 
-// needsStart reports whether the target must be asked for its start before it gets the request: if it
-// is to continue a stream, or to begin one after a connection to it failed. A start that the target's
-// heartbeats do not tell of yet may run another version.
-func (c *call) needsStart(t *route.Target) bool {
-	return c.origin != (origin.Origin{}) || c.resumable() && t.Doubtful()
+// identification returns the question for the target's start, on the connection over which it gets a
+// request whose stream may go on at another target, or nil. A start that the target's heartbeats do not
+// tell of yet may run another version, and would begin or continue the stream all the same.
+// Plain services state no start, and neither do targets whose heartbeats name none.
+func (c *call) identification(t *route.Target) *exchange.Identification {
+	if !c.resumable() || c.service.Engine == nil || t.Incarnation() == 0 {
+		return nil
+	}
+	i := c.server.deps.Starts.Identification(t.Name(), t.Incarnation())
+	i.Required = c.origin != (origin.Origin{})
+	return i
 }
 
-// sameStart reports whether the target still runs the start that this instance knows of. One that
-// started again under its id may run another version, and would continue the stream all the same. Plain
-// services state no start, and neither do targets whose heartbeats name none.
-func (c *call) sameStart(t *route.Target) bool {
-	if c.service.Engine == nil || t.Incarnation() == 0 {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
-	defer cancel()
-	running, err := c.server.deps.Starts.Incarnation(ctx, t.Name(), t.Address())
-	switch {
-	case err != nil:
-		c.recordError(t, err)
-		return false
-	case running != 0 && running != t.Incarnation():
-		c.excluded = append(c.excluded, t.Name())
-		c.server.logOtherStart(c, t, running)
-		return false
-	}
-	t.SetDoubtful(false)
-	return true
+// certainStart reports whether the response comes from the start of the target that this instance knows of,
+// as far as targets of the service state their starts.
+func (c *call) certainStart(t *route.Target, response *exchange.Response) bool {
+	return c.identification(t) == nil || response.Identified()
 }
 
 // resumable reports whether the response is a stream that may go on at another target.
@@ -130,8 +118,8 @@
 var errOtherSoftware = errors.New("the target may have started again with other software than began the stream")
 
 // bind restricts the stream to the software of the target, whose first event is about to be
-// forwarded.
-func (c *call) bind(t *route.Target) error {
+// forwarded. certain is true if it is certain which start of the target began it.
+func (c *call) bind(t *route.Target, certain bool) error {
 	if c.origin != (origin.Origin{}) {
 		if c.origin.Software != t.Software() || !c.server.deps.Fleets.certainSoftware(t) {
 			return errOtherSoftware
@@ -140,11 +128,15 @@
 	}
 	c.origin = origin.Origin{Service: c.service.Name, Software: t.Software()}
 	c.began = t
+	if !certain {
+		c.uncertain = true
+		c.recorded.Uncertain()
+	}
 	return nil
 }
 
 // mayContinue reports whether it is certain what began the stream. The target that began it may have
 // turned out to have started again before.
 func (c *call) mayContinue() bool {
-	return c.began == nil || c.server.deps.Fleets.certainSoftware(c.began)
+	return !c.uncertain && (c.began == nil || c.server.deps.Fleets.certainSoftware(c.began))
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -135,9 +135,9 @@
 		zap.String("before", before.Name()), zap.String("before_version", before.Version()), zap.String("after", after))...)
 }
 
-// logOtherStart logs that a target was not asked to continue the stream because it has started again.
-func (s *Server) logOtherStart(c *call, t *route.Target, running int64) {
-	s.deps.Logger.Log(event.TargetOtherStart, c.fields(zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()), zap.Int64("running", running))...)
+// logOtherStart logs that a target did not get the request because it does not state the start that is known.
+func (s *Server) logOtherStart(c *call, t *route.Target, err error) {
+	s.deps.Logger.Log(event.TargetOtherStart, c.fields(zap.String("target", t.Name()), zap.Int64("incarnation", t.Incarnation()), zap.Error(err))...)
 }
 
 // logTakenUp logs that the request takes up a stream that another request began, and what may
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -55,7 +55,7 @@
 	defer cancel()
 	c.server.countSend(t, sendPrefill)
 	sent := clock.Now()
-	response, err := c.server.deps.Dialer.Send(ctx, t.Address(), c.request(Dispatch{Target: t.Name(), PrefillOnly: true}))
+	response, err := c.server.deps.Dialer.Send(ctx, t.Address(), c.request(t, Dispatch{Target: t.Name(), PrefillOnly: true}))
 	if err != nil {
 		if !exchange.NotSent(err) {
 			c.prefillRuns++
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -200,7 +200,7 @@
 	}
 	if !r.started {
 		if r.resumable {
-			if err := c.bind(r.target); err != nil {
+			if err := c.bind(r.target, c.certainStart(r.target, response)); err != nil {
 				return err
 			}
 		}
@@ -229,7 +229,7 @@
 		if t == nil || c.refuseIfQuarantined() != nil || c.heldOff > maxHeldOff {
 			return nil, nil
 		}
-		if !c.permitted(t) || !c.sameStart(t) {
+		if !c.permitted(t) {
 			continue
 		}
 		if !c.spendRetry() {
@@ -237,7 +237,7 @@
 		}
 		c.server.countSend(t, sendContinued)
 		sent := clock.Now()
-		response, err := c.server.deps.Dialer.Send(c.ctx, t.Address(), c.request(Dispatch{Target: t.Name(), LastEventID: r.cursor.lastID}))
+		response, err := c.server.deps.Dialer.Send(c.ctx, t.Address(), c.request(t, Dispatch{Target: t.Name(), LastEventID: r.cursor.lastID}))
 		if err != nil {
 			if _, f := c.sendFailed(t, err); f != nil {
 				return nil, nil
--- a/origin/journal.go
+++ b/origin/journal.go
@@ -144,6 +144,18 @@
 	return r.origin, true
 }
 
+// Uncertain records that it is not certain what began the stream.
+func (s *Stream) Uncertain() {
+	if s == nil {
+		return
+	}
+	s.journal.mutex.Lock()
+	defer s.journal.mutex.Unlock()
+	if s.record.known {
+		s.journal.change(s.record, disputed)
+	}
+}
+
 // Broken records that the stream broke off, so that its caller may take it up at another instance
 // at once.
 func (s *Stream) Broken() {
--- a/route/target.go
+++ b/route/target.go
@@ -42,8 +42,6 @@
 	silent atomic.Bool
 	// leaving is true once the target has stated that it is about to end.
 	leaving atomic.Bool
-	// doubtful is true while the target may have started again without this instance knowing.
-	doubtful atomic.Bool
 	// pausedUntil is until when the target asked for no requests, in nanoseconds since
 	// 1970.
 	pausedUntil atomic.Int64
@@ -196,13 +194,6 @@
 // It gets no requests any more.
 func (t *Target) SetLeaving() bool { return !t.leaving.Swap(true) }
 
-// SetDoubtful records whether the target may have started again without this instance knowing: a
-// connection to it failed, and it has not been asked for its start since.
-func (t *Target) SetDoubtful(doubtful bool) { t.doubtful.Store(doubtful) }
-
-// Doubtful reports whether the target may have started again without this instance knowing.
-func (t *Target) Doubtful() bool { return t.doubtful.Load() }
-
 // Pause keeps requests from the target until the given time, because it asked for that.
 // An earlier end of a pause never replaces a later one.
 func (t *Target) Pause(until time.Time) {
