A control instance that knows nothing yet accepts no targets

Cause: without a configuration nothing could be compared, and right after a start neither could what the other instances know of the targets.

Change: until another control instance has responded, for a second at most, and while it lacks a configuration that others have, it answers 503 to heartbeats of targets that it does not know; targets then call the next instance. Leaves are taken at any time.

TestControlWithoutConfigurationTakesNoTarget failed before (200).

--- a/serve/control.go
+++ b/serve/control.go
@@ -92,7 +92,12 @@
 	linkServer           *transport.Server
 	operatorServer       *http.Server
 	// listener is the listener of operatorServer.
-	listener net.Listener
+	listener  net.Listener
+	startedAt time.Duration
+	// othersHeard is true once another control instance has responded, and othersVersion the newest version
+	// of a configuration that one of them had.
+	othersHeard   atomic.Bool
+	othersVersion atomic.Uint64
 	// rowLog logs the rows of targets that other instances send and this one cannot use.
 	rowLog        *rowLog
 	metrics       tally.Scope
@@ -109,7 +114,7 @@
 		return nil, err
 	}
 	c := &Control{
-		settings: s, logger: logger, incarnation: newIncarnation(), outboundClients: out,
+		settings: s, logger: logger, incarnation: newIncarnation(), outboundClients: out, startedAt: clock.Now(),
 		failures: make(chan error, 4), stopped: make(chan struct{}),
 	}
 	identity, err := c.openDataFolder()
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -9,6 +9,8 @@
 
 	"go.uber.org/zap"
 
+	"auburnscale/clock"
+	"auburnscale/control"
 	"auburnscale/event"
 	"auburnscale/origin"
 	"auburnscale/peer"
@@ -31,7 +33,11 @@
 // but no other control instance is known to have it. A deregistration that names no start time ends all
 // incarnations of the target that have started so far.
 func (c *Control) UpdateTarget(ctx context.Context, row *peer.TargetRow) error {
-	if err := c.checkTarget(row); err != nil {
+	err := c.checkTarget(row)
+	if errors.Is(err, errNotCaughtUp) {
+		return err
+	}
+	if err != nil {
 		c.logger.Log(event.TargetRefused, zap.String("target", peer.Clip(row.Id, peer.MaxNameBytes)), zap.Error(err))
 		c.metrics.Counter("target_calls_refused").Inc(1)
 		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
@@ -44,7 +50,8 @@
 }
 
 // checkTarget returns an error if no target can have sent the row. A service that the configuration
-// does not name is accepted only from a target that is known to belong to it.
+// does not name is accepted only from a target that is known to belong to it. It returns
+// errNotCaughtUp if this instance lacks what it needs to judge that.
 func (c *Control) checkTarget(row *peer.TargetRow) error {
 	if ahead := row.BornMs - c.watchServer.MedianTime().Milliseconds(); ahead > maxStartAhead.Milliseconds() {
 		return fmt.Errorf("target %q states a start that is %d ms ahead", row.Id, ahead)
@@ -52,16 +59,33 @@
 	if err := c.roster.Check(row); err != nil {
 		return err
 	}
-	snapshot := c.snapshot()
-	if row.State == peer.TargetRow_GONE || snapshot == nil || snapshot.Service(row.Service) != nil {
+	known := c.roster.Snapshot().Target(row.Id)
+	if row.State == peer.TargetRow_GONE || known.GetService() == row.Service && known.GetBornMs() == row.BornMs {
 		return nil
 	}
-	if known := c.roster.Snapshot().Target(row.Id); known.GetService() == row.Service && known.GetBornMs() == row.BornMs {
+	snapshot := c.snapshot()
+	switch {
+	case !c.caughtUp():
+		return errNotCaughtUp
+	case snapshot == nil || snapshot.Service(row.Service) != nil:
 		return nil
 	}
 	return fmt.Errorf("target %q: configuration %d names no service %q", row.Id, snapshot.Version(), row.Service)
 }
 
+// firstResponseWait is how long after its start a control instance waits for the rows that others know,
+// before it accepts targets that it does not know itself.
+const firstResponseWait = time.Second
+
+// caughtUp reports whether this instance knows the targets and the configuration that other control
+// instances know, as far as any responds.
+func (c *Control) caughtUp() bool {
+	heard := c.othersHeard.Load() || len(c.watchClient.Addresses()) == 0 || clock.Now()-c.startedAt > firstResponseWait
+	committed := false
+	c.voter.Read(func(m *control.Machine) { committed = m.Document() != nil })
+	return heard && (committed || c.othersVersion.Load() == 0)
+}
+
 // mergeTarget merges a row that a target sent, and logs what it changed. It returns false if the row is
 // outdated.
 func (c *Control) mergeTarget(row *peer.TargetRow) bool {
@@ -110,6 +134,8 @@
 
 var errNotUTF8 = errors.New("the configuration is not UTF-8")
 
+var errNotCaughtUp = errors.New("this instance does not know yet what the other control instances know")
+
 var errNoConfiguration = errors.New("no configuration has been committed yet")
 
 // Current returns the configuration document in effect, or an error if there is
@@ -142,6 +168,8 @@
 // log.
 func (c *Control) HandleResponse(response *peer.WatchResponse) {
 	c.rowLog.log(c.roster.Merge(response.Rows))
+	c.othersVersion.Store(max(c.othersVersion.Load(), response.Version))
+	c.othersHeard.Store(true)
 	c.watchServer.MergeEnded(response.Ended)
 }
 
--- a/serve/poisoned_state_test.go
+++ b/serve/poisoned_state_test.go
@@ -193,3 +193,22 @@
 	f.awaitRead(2, 1, "/orders/")
 	f.awaitServed(10, "/orders/")
 }
+
+// Guards against a control instance that has lost its data folder (soak, seed 50000): it accepted heartbeats of any
+// service until it had a configuration again.
+func TestControlWithoutConfigurationTakesNoTarget(t *testing.T) {
+	f, target := newServingFleet(t)
+	s := f.settings("control4", 4)
+	s.Fleet.OperatorAddress, s.Fleet.DataFolder = f.address(4, fleetOperatorPort), f.dir(4)
+	// Nobody reaches this instance, so that it gets no configuration.
+	s.Fleet.PeerListenAddress = f.address(4, fleetPeerPort+100)
+	f.run("control4", s)
+	body := fmt.Sprintf(`{"service":"nobody","addr":%q,"zone":"d1","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":9,"born":2000}`, target.Address())
+	for range 50 {
+		status, text, err := f.call(http.MethodPost, f.address(4, fleetOperatorPort), "/Instances.Heartbeat/odd", body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, status, text)
+	}
+	f.awaitServed(10, "/orders/")
+	require.Nil(t, f.running["control4"].process.(*Control).roster.Snapshot().Target("odd"))
+}
