Soak: odd writers, lost acknowledgers, late refusals, instances out of step

They are drawn apart from the other faults, so that earlier seeds keep theirs. Requests to targets that left are now checked in every time in touch, also after faults that came and went since the acknowledgement; the check passed over those before.

--- a/soak/check.go
+++ b/soak/check.go
@@ -192,7 +192,8 @@
 func (h *History) checkDrains(b Bounds, report func(string, string, ...any)) {
 	for _, l := range h.Drains {
 		for _, a := range h.Arrivals {
-			if a.Target == l.Name && a.At.After(l.From.Add(b.Drain)) && h.faultFree(l.From.Add(-b.Contact), a.At) {
+			// Between the two times faults may have come and gone: what was acknowledged must outlive them.
+			if a.Target == l.Name && a.At.After(l.From.Add(b.Drain)) && h.faultFree(l.From.Add(-b.Contact), l.From) && h.faultFree(a.At.Add(-b.Contact), a.At) {
 				report("draining targets get no new request", "%s reached %s %v after its drain announcement", a.ID, a.Target, a.At.Sub(l.From))
 			}
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -25,11 +25,16 @@
 }
 
 func (r *faultRun) run(ctx context.Context) {
-	if r.fault.Kind == LoseDataFolder {
+	switch r.fault.Kind {
+	case LoseDataFolder:
 		// It is injected only after a time without faults, so it must not record
 		// its own start before it has checked that.
 		r.loseDataFolder(ctx)
 		return
+	case LoseAcknowledger:
+		// The target that leaves serves on after the fault.
+		r.loseAcknowledger(ctx)
+		return
 	}
 	if !r.fault.Kind.Planned() {
 		defer r.env.history.beginFault()()
@@ -42,7 +47,7 @@
 // resets.
 func (r *faultRun) disturbedEntries() (names []string) {
 	switch r.fault.Kind {
-	case KillEntry, PauseEntry, ResetEntry, StallEntry, StopEntry:
+	case KillEntry, PauseEntry, ResetEntry, StallEntry, StopEntry, IsolateEntry, ReleaseOutOfStep:
 		return []string{r.entry().name}
 	case PartitionDomain:
 		for _, i := range r.env.entries {
@@ -95,6 +100,15 @@
 	case FaultyResponses:
 		r.target().scriptFailures(r.fault.Selector)
 		r.awaitEnd(ctx)
+	case LateResponses:
+		r.target().scriptLateResponses(r.fault.Selector)
+		r.awaitEnd(ctx)
+	case IsolateEntry:
+		r.isolate(ctx, func() {})
+	case ReleaseOutOfStep:
+		r.isolate(ctx, r.replaceEngines)
+	case RestartUnheard:
+		r.restartUnheard(ctx)
 	default:
 		r.runPlanned(ctx)
 	}
@@ -123,6 +137,8 @@
 		})
 	case InvalidVersion:
 		r.withChangeTimeout(ctx, func(ctx context.Context) { e.versions.sendInvalid(ctx, r.fault.Selector) })
+	case OddWriter:
+		r.writeOdd(ctx)
 	}
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -37,6 +37,13 @@
 	ChangeConfig     Kind = "change"
 	RaceChanges      Kind = "race"
 	InvalidVersion   Kind = "bad_change"
+
+	OddWriter        Kind = "odd_writer"
+	LoseAcknowledger Kind = "lose_acknowledger"
+	LateResponses    Kind = "late_answers"
+	IsolateEntry     Kind = "isolate_entry"
+	RestartUnheard   Kind = "restart_unheard"
+	ReleaseOutOfStep Kind = "release_out_of_step"
 )
 
 var (
@@ -47,9 +54,13 @@
 	}
 )
 
+// lateKinds are drawn apart from the other kinds, so that a seed keeps the faults that it had before they were
+// added. Odd writers disturb nothing, and count as planned.
+var lateKinds = []Kind{OddWriter, LoseAcknowledger, LateResponses, IsolateEntry, RestartUnheard, ReleaseOutOfStep}
+
 // Planned reports whether the kind is an ordinary operation, during which no
 // request may be lost.
-func (k Kind) Planned() bool { return slices.Contains(plannedKinds, k) }
+func (k Kind) Planned() bool { return k == OddWriter || slices.Contains(plannedKinds, k) }
 
 // A Fault represents a fault or ordinary operation that starts at At, counted from
 // the start of the injection, and lasts for For.
@@ -97,7 +108,23 @@
 		}
 		at += time.Duration(random.Int64N(int64(2 * meanSeriesPause)))
 	}
+	faults = append(faults, planLate(seed, span)...)
 	faults = slices.DeleteFunc(faults, func(f Fault) bool { return f.At >= span })
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
+
+// planLate draws the faults of lateKinds. Seeds with planned kinds only get odd writers only.
+func planLate(seed uint64, span time.Duration) (faults []Fault) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	kinds := lateKinds
+	if seed%3 == 0 {
+		kinds = []Kind{OddWriter}
+	}
+	for at := time.Duration(0); at < span; at += time.Duration(random.Int64N(int64(meanSeriesPause))) {
+		f := Fault{At: at, Kind: kinds[random.IntN(len(kinds))], Selector: random.IntN(1 << 16)}
+		f.For = minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
+		faults = append(faults, f)
+	}
+	return faults
+}
--- a/soak/target.go
+++ b/soak/target.go
@@ -38,6 +38,10 @@
 	// version is the software version that the incarnation announces, or empty.
 	version  string
 	draining bool
+	// mute is true while the target sends no heartbeats.
+	mute bool
+	// keepName makes the next incarnation start under the name of the one before.
+	keepName bool
 	// endServing ends the record of the incarnation as one that serves.
 	endServing func()
 	// drainAcked is closed once the drain announcement was acknowledged.
@@ -64,6 +68,9 @@
 		// Every third incarnation has the name of the one before.
 		name = fmt.Sprintf("i-%d-%d", t.host, t.starts-1)
 	}
+	if t.keepName {
+		name = t.current.ID()
+	}
 	current := standin.NewTarget(name)
 	current.SetEvents(streamEvents)
 	current.SetPause(responseDelay)
@@ -128,7 +135,7 @@
 	return standin.Heartbeat{
 		ID: t.current.ID(), Service: t.service, Address: t.address(), Domain: t.domain, Stage: t.current.Stage(), Slots: 16, Version: t.version,
 		StartTime: t.startTime.UnixMilli(), Seq: t.seq, Draining: t.draining,
-	}, incarnation{incarnationName(t.current.ID(), t.starts), t.drainAcked}, !t.stopped
+	}, incarnation{incarnationName(t.current.ID(), t.starts), t.drainAcked}, !t.stopped && !t.mute
 }
 
 func (t *target) acknowledged(inc incarnation) {
