Bound callers' texts in the log; say when a replica cannot read a command

A request id of up to 64 KiB went into every line about its request; lines now hold the first 256 bytes as UTF-8, targets get it unchanged. A replica of an older release that applies a command which it does not know diverged silently; it logs command_unknown.

TestTextsOfCallersAreLoggedBounded failed before. TestPoisonedStateOnDiskIsSurvived passes: configurations on disk that this release would refuse or cannot read cost nothing but themselves after all control instances start again.

--- a/event/event.go
+++ b/event/event.go
@@ -97,6 +97,7 @@
 	BlockBlamed           = define(413, "block_blamed", zapcore.WarnLevel, "this control instance found that the block explains crashes of targets, and quarantines it; proven tells whether a request with it had been served before")
 	BlockCleared          = define(414, "block_cleared", zapcore.InfoLevel, "this control instance ended the quarantine of a block: a request with it was served, or a target that was taken for crashed is alive")
 	IdleTimeoutReduced    = define(516, "idle_time_cut", zapcore.WarnLevel, "a target had closed an idle connection; the idle timeout of connections is reduced for some time")
+	CommandUnknown        = define(211, "command_unknown", zapcore.ErrorLevel, "this replica cannot read a committed command, which a newer release wrote; its state is behind from this index on, and it must be upgraded")
 	VotersPlanned         = define(207, "voters_planned", zapcore.InfoLevel, "the leader changes the voter set; reason tells why")
 	ReplicaInitialized    = define(208, "replica_founded", zapcore.InfoLevel, "a new data folder was initialised; founder tells whether the replica is an initial voter")
 	ReplicaJoinRequested  = define(209, "replica_enrols", zapcore.InfoLevel, "this replica has no contact with a leader and requests to join the control group")
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -9,6 +9,7 @@
 	"auburnscale/event"
 	"auburnscale/exchange"
 	"auburnscale/origin"
+	"auburnscale/peer"
 	"auburnscale/route"
 )
 
@@ -16,7 +17,7 @@
 // more.
 func (c *call) fields(more ...zap.Field) []zap.Field {
 	list := make([]zap.Field, 0, len(more)+12)
-	list = append(list, zap.String("request", c.info.ID), zap.Int64("ms", time.Since(c.arrived).Milliseconds()))
+	list = append(list, zap.String("request", logged(c.info.ID)), zap.Int64("ms", time.Since(c.arrived).Milliseconds()))
 	if c.configuration != nil {
 		list = append(list, zap.Uint64("version", c.configuration.Version()))
 	}
@@ -32,6 +33,9 @@
 	return append(list, more...)
 }
 
+// logged returns a text of a caller as it is logged: bounded, and valid UTF-8.
+func logged(text string) string { return peer.Clip(text, peer.MaxNameBytes) }
+
 // maxLoggedBlocks bounds the prompt blocks in a log line.
 const maxLoggedBlocks = 8
 
@@ -149,6 +153,6 @@
 		version = versionSame
 	}
 	s.countContinued(false, version)
-	s.deps.Logger.Log(event.StreamTakenUp, c.fields(zap.String("resumes", c.info.Resumes), zap.String("after", c.info.LastEventID),
+	s.deps.Logger.Log(event.StreamTakenUp, c.fields(zap.String("resumes", logged(c.info.Resumes)), zap.String("after", logged(c.info.LastEventID)),
 		zap.String("origin_service", o.Service), zap.String("origin", o.Software), zap.String("reason", string(d.Reason())), zap.Bool("conclusive", d.Conclusive()))...)
 }
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -10,9 +12,25 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"auburnscale/event"
+	"auburnscale/peer"
 	"auburnscale/platform/standin"
 )
 
+// TestTextsOfCallersAreLoggedBounded sends a request id that is long and not UTF-8: the target gets it unchanged, and
+// the log its start.
+func TestTextsOfCallersAreLoggedBounded(t *testing.T) {
+	core, lines := observer.New(zapcore.InfoLevel)
+	f := newFixtureWith(t, 1, fixtureOptions{logger: event.New(zap.New(core))})
+	id := "r-\xff" + strings.Repeat("é", 10_000)
+	response, _ := f.send(http.MethodPost, "/orders/1", "X-Request-Id", id)
+	require.Equal(t, http.StatusOK, response.status)
+	require.Equal(t, 1, f.runs(id))
+	line := lines.FilterMessage("request_served").All()[0].ContextMap()["request"].(string)
+	require.True(t, utf8.ValidString(line))
+	require.LessOrEqual(t, len(line), peer.MaxNameBytes)
+	require.True(t, strings.HasPrefix(line, "r-éé"))
+}
+
 // TestFailedTargetIsLoggedWithPromptBlocks checks that the lines about a target that failed
 // and about a request that was served name the prompt blocks, so that logs alone tell which
 // block crashes targets and which is sound.
--- a/serve/poisoned_state_test.go
+++ b/serve/poisoned_state_test.go
@@ -212,3 +212,35 @@
 	f.awaitServed(10, "/orders/")
 	require.Nil(t, f.running["control4"].process.(*Control).roster.Snapshot().Target("odd"))
 }
+
+// Guards against a state on disk that an earlier release wrote and this one would refuse, or cannot read: all control
+// instances start again with it, serve what can be read, and take the next configuration.
+func TestPoisonedStateOnDiskIsSurvived(t *testing.T) {
+	f, target := newServingFleet(t)
+	commit := func(version int, body string) {
+		t.Helper()
+		f.await("the document is committed", func() bool {
+			control := f.running["control1"].process.(*Control)
+			result, err := control.replicaManager.Propose(context.Background(), &peer.Command{Body: &peer.Command_Replace{Replace: &peer.ReplaceDocument{Version: uint64(version), Body: []byte(body)}}})
+			return err == nil && result.Code == peer.Result_OK
+		})
+	}
+	restartAll := func() {
+		for host := 1; host <= 3; host++ {
+			f.stop(fmt.Sprint("control", host))
+		}
+		for host := 1; host <= 3; host++ {
+			f.startControl(host)
+		}
+	}
+	commit(3, strings.Replace(f.document(3, "/odd/"), `"name":"r"`, "\"name\":\"r\xff\"", 1))
+	f.awaitServed(10, "/odd/")
+	restartAll()
+	f.heartbeat(1, target, "ready", 2)
+	f.startEntry(11)
+	f.awaitServed(11, "/odd/")
+	commit(5, `{"version":5,"routes":"later"}`)
+	restartAll()
+	f.replace(2, 7, "/next/")
+	f.awaitServed(10, "/next/")
+}
--- a/voter/run.go
+++ b/voter/run.go
@@ -168,6 +168,9 @@
 	before := v.machine.Revision()
 	for _, e := range entries {
 		result := v.machine.Apply(e)
+		if e.Command != nil && e.Command.Body == nil {
+			v.log(event.CommandUnknown, zap.Uint64("index", e.Index))
+		}
 		v.lastApplied = e.Index
 		v.lastAppliedTerm = e.Term
 		v.completeProposal(e, result)
