--- a/authority/executor_test.go
+++ b/authority/executor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 	"unicode/utf8"
@@ -17,6 +18,7 @@
 
 // A fakeLog is a replicated log that several voters of a test share.
 type fakeLog struct {
+	mutex   sync.Mutex
 	machine *control.Machine
 	index   uint64
 	term    uint64
@@ -28,6 +30,8 @@
 
 // release records that the process has terminated.
 func (l *fakeLog) release(issuer string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.index++
 	l.machine.Apply(&peer.Entry{Index: l.index, Term: l.term, Command: &peer.Command{Body: &peer.Command_Release{
 		Release: &peer.ReleaseIssuer{Issuer: issuer, Reason: "process terminated"},
@@ -45,12 +49,18 @@
 func (v *fakeVoter) MayAct() bool        { return v.holdsLease }
 func (v *fakeVoter) Incarnation() string { return v.incarnation }
 
-func (v *fakeVoter) Read(f func(*control.Machine)) { f(v.log.machine) }
+func (v *fakeVoter) Read(f func(*control.Machine)) {
+	v.log.mutex.Lock()
+	defer v.log.mutex.Unlock()
+	f(v.log.machine)
+}
 
 func (v *fakeVoter) Propose(_ context.Context, c *peer.Command) (*peer.Result, error) {
 	if !v.holdsLease {
 		return nil, errors.New("not the leader")
 	}
+	v.log.mutex.Lock()
+	defer v.log.mutex.Unlock()
 	v.proposed = append(v.proposed, c)
 	v.log.index++
 	return v.log.machine.Apply(&peer.Entry{Index: v.log.index, Term: v.log.term, Command: c}), nil
