--- a/gateway/event_cursor_test.go
+++ b/gateway/event_cursor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -64,3 +65,31 @@
 		}
 	})
 }
+
+// consume reads a stream in pieces, as a relay does, and returns the cursor after its complete events.
+func consume(stream []byte, pieces func(left int) int) (c eventCursor) {
+	var pending []byte
+	for len(stream) > 0 {
+		n := pieces(len(stream))
+		pending, stream = append(pending, stream[:n]...), stream[n:]
+		end := completeEvents(pending)
+		if c.advance(pending[:end]) != nil {
+			break
+		}
+		pending = append([]byte(nil), pending[end:]...)
+	}
+	return c
+}
+
+// FuzzEventCursor compares any way of splitting a stream into reads with the whole.
+func FuzzEventCursor(f *testing.F) {
+	for _, fields := range []string{"id: 7\ndata: id: 8\n\n", "event: id\nid:7\r\ndata\r\n\r\n", "data: retry: 5\rid: 9\r\r", ": id: 4\n\nid\n\n", "id: \x00\ndata: x\n\n", "\n\n\r\r\nid: 3\n\r\ndata:data:\n\n"} {
+		f.Add([]byte(fields+fields), uint64(3))
+	}
+	f.Fuzz(func(t *testing.T, stream []byte, seed uint64) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		whole := consume(stream, func(left int) int { return left })
+		split := consume(stream, func(left int) int { return 1 + random.IntN(min(left, 1+int(seed%7))) })
+		require.Equal(t, whole, split)
+	})
+}
