--- a/event/event.go
+++ b/event/event.go
@@ -103,7 +103,7 @@
 	ReplicaJoinRequested  = define(209, "replica_enrols", zapcore.InfoLevel, "this replica has no contact with a leader and requests to join the control group")
 	DocumentAccepted      = define(306, "document_accepted", zapcore.InfoLevel, "an operator's configuration was committed or superseded")
 	DocumentRefused       = define(307, "document_refused", zapcore.WarnLevel, "an operator's configuration is invalid; findings lists the errors")
-	ControlLost           = define(308, "control_lost", zapcore.WarnLevel, "a control instance does not answer; responded tells that it did, but with an error or a response that cannot be read")
+	ControlLost           = define(308, "control_lost", zapcore.WarnLevel, "a poll of a control instance failed; responded is true if it answered, with an error or a response that cannot be read")
 	ControlRestored       = define(309, "control_back", zapcore.InfoLevel, "a control instance answers again")
 	TextUnencodable       = define(312, "text_unencodable", zapcore.ErrorLevel, "a response to another instance held text that is not UTF-8; the rows with it were left out; fields are the first of count such places")
 	Behind                = define(313, "behind", zapcore.ErrorLevel, "this entry instance cannot read a committed configuration (unreadable_version), or the response of any control instance that answers; it reports that it is not ready and serves with what it has")
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -54,9 +54,9 @@
 	}
 )
 
-// lateKinds are drawn apart from the other kinds, so that a seed keeps the faults that it had before they were
+// separateKinds are drawn apart from the other kinds, so that a seed keeps the faults that it had before they were
 // added. Odd writers disturb nothing, and count as planned.
-var lateKinds = []Kind{OddWriter, LoseAcknowledger, LateResponses, IsolateEntry, RestartUnheard, ReleaseOutOfStep}
+var separateKinds = []Kind{OddWriter, LoseAcknowledger, LateResponses, IsolateEntry, RestartUnheard, ReleaseOutOfStep}
 
 // Planned reports whether the kind is an ordinary operation, during which no
 // request may be lost.
@@ -108,16 +108,16 @@
 		}
 		at += time.Duration(random.Int64N(int64(2 * meanSeriesPause)))
 	}
-	faults = append(faults, planLate(seed, span)...)
+	faults = append(faults, planSeparate(seed, span)...)
 	faults = slices.DeleteFunc(faults, func(f Fault) bool { return f.At >= span })
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
 
-// planLate draws the faults of lateKinds. Seeds with planned kinds only get odd writers only.
-func planLate(seed uint64, span time.Duration) (faults []Fault) {
+// planSeparate draws the faults of separateKinds. Seeds with planned kinds only get odd writers only.
+func planSeparate(seed uint64, span time.Duration) (faults []Fault) {
 	random := rand.New(rand.NewPCG(seed, 5))
-	kinds := lateKinds
+	kinds := separateKinds
 	if seed%3 == 0 {
 		kinds = []Kind{OddWriter}
 	}
--- a/soak/late_faults.go
+++ b/soak/separate_faults.go
@@ -16,7 +16,7 @@
 	// unannouncedLinger is how long a target that deregistered first goes on serving: long enough for a time
 	// in which all instances are in touch again.
 	unannouncedLinger = 9 * time.Second
-	// unheardLife is how long a start lives that no control instance hears of.
+	// unheardLife is how long a start lives of which no control instance gets a heartbeat.
 	unheardLife = 900 * time.Millisecond
 	// oddCalls is the number of calls of an odd writer.
 	oddCalls = 6
@@ -144,8 +144,8 @@
 	}
 }
 
-// restartUnheard starts a target again under its name, with other software. No control instance hears of that start,
-// which serves for a moment and ends.
+// restartUnheard starts a target again under its name, with other software. That start sends no heartbeat, serves
+// for a moment and ends.
 func (r *faultRun) restartUnheard(ctx context.Context) {
 	t := r.target()
 	t.mutex.Lock()
--- a/watch/client_test.go
+++ b/watch/client_test.go
@@ -56,7 +56,7 @@
 }
 
 // TestUnreadableIsNotSilent polls a control instance that responds with an error, one that responds with
-// what is no message, one that is not there, and a sound one: the gauges must tell them apart.
+// bytes that are no message, one that is not there, and a sound one: the gauges must distinguish them.
 func TestUnreadableIsNotSilent(t *testing.T) {
 	ignore := func(string, []string) {}
 	failing := serveWatch(t, ignore, func() (*peer.WatchResponse, error) { return nil, twirp.InternalError("cannot be encoded") })
