A response to the identification that is written again is not believed

Found by reading the diff: the connection had carried an exchange before, but counted as new, so that a second copy of a refused question for the start was taken for the refusal of the request. It counts as reused now.

--- a/exchange/identify.go
+++ b/exchange/identify.go
@@ -9,7 +9,7 @@
 )
 
 // An Identification asks a target who it is, on the connection that a request is about to use. A connection
-// leads to one process, so that the answer holds as long as it is open.
+// leads to one process, so the answer holds as long as it is open.
 type Identification struct {
 	// Request is sent before the first request that needs the answer. Its host is the address.
 	Request *Request
@@ -56,9 +56,11 @@
 		if c, err = d.dial(ctx, address); err != nil {
 			return nil, err
 		}
-		identity = ""
+		c.identified = true
+		return c, nil
 	}
-	c.identified, c.identity = true, identity
+	// The response to the question may be written again.
+	c.identified, c.identity, c.reused = true, identity, true
 	return c, nil
 }
 
--- a/gateway/headerrecorder.go
+++ b/gateway/headerrecorder.go
@@ -103,6 +103,9 @@
 	stopped
 )
 
+// maxChunkBytes bounds a chunk. No body may be that long.
+const maxChunkBytes = 1 << 40
+
 // chunkEndBytes is the length of the line end after the data of a chunk.
 const chunkEndBytes = 2
 
@@ -202,7 +205,7 @@
 	digits, _, _ := strings.Cut(line, ";")
 	size, err := strconv.ParseInt(strings.TrimSpace(digits), 16, 63)
 	switch {
-	case err != nil || size < 0:
+	case err != nil || size < 0 || size > maxChunkBytes:
 		p.state = stopped
 	case size == 0:
 		p.state = inTrailer
--- a/gateway/headerrecorder_test.go
+++ b/gateway/headerrecorder_test.go
@@ -60,6 +60,8 @@
 		"two lengths":     {"POST / HTTP/1.1\r\nContent-Length: 5\r\ncontent-length : 5\r\n\r\nhello", 2},
 		"negative length": {"POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n", -1},
 		"odd chunk":       {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 1},
+		"largest chunk":   {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n", 1},
+		"largest chunks":  {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n", 1},
 		"negative chunk":  {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n", 1},
 	} {
 		var p framingParser
@@ -81,6 +83,7 @@
 
 func FuzzFramingParser(f *testing.F) {
 	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n"), 3)
+	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\nhello"), 1)
 	f.Fuzz(func(t *testing.T, stream []byte, piece int) {
 		var whole, pieces framingParser
 		want := whole.parse(stream)
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -25,6 +25,8 @@
 	response, _ := f.send(http.MethodPost, "/orders/1", "X-Request-Id", id)
 	require.Equal(t, http.StatusOK, response.status)
 	require.Equal(t, 1, f.runs(id))
+	// The line is written after the response.
+	f.waitFor("the request is logged", func() bool { return lines.FilterMessage("request_served").Len() == 1 })
 	line := lines.FilterMessage("request_served").All()[0].ContextMap()["request"].(string)
 	require.True(t, utf8.ValidString(line))
 	require.LessOrEqual(t, len(line), peer.MaxNameBytes)
@@ -50,6 +52,7 @@
 	require.Equal(t, false, fields["not_sent"])
 	require.EqualValues(t, 0, fields["streamed_ms"])
 
+	f.waitFor("the request is logged", func() bool { return lines.FilterMessage("request_served").Len() > 0 })
 	served := lines.FilterMessage("request_served").All()
 	require.Len(t, served, 1)
 	require.Equal(t, []any{"a1"}, served[0].ContextMap()["blocks"])
