Bound the log of refused calls; wait for the configuration in the fleet tests

A service that is no longer configured, with its targets still running, would have logged a warning for each of their heartbeats. After 20 lines one each second is logged; the counter has all.

--- a/event/event.go
+++ b/event/event.go
@@ -80,7 +80,7 @@
 	TargetLeaving         = define(411, "target_leaving", zapcore.InfoLevel, "a target stated in a response that it is about to end; it receives no new requests until it has started again")
 	TargetPaused          = define(412, "target_paused", zapcore.InfoLevel, "a target that turned a request away asked for a pause; this instance sends it nothing for pause_ms; bounded tells that it asked for another time, or for one that cannot be understood")
 	TargetLimited         = define(415, "target_limited", zapcore.InfoLevel, "a target named another rate limit in a response than before, per_second for all instances together, or none any more (named is false)")
-	TargetRefused         = define(419, "target_refused", zapcore.WarnLevel, "a heartbeat or deregistration was refused, because no target can have sent it; error says which field is wrong")
+	TargetRefused         = define(419, "target_refused", zapcore.WarnLevel, "a heartbeat or deregistration was refused, because no target can have sent it; error says which field is wrong; after the first lines one each second is logged, and the counter target_calls_refused has all")
 	RowsRefused           = define(420, "rows_refused", zapcore.WarnLevel, "another instance sent count rows of targets that cannot be used; the other rows are; error is the reason of the first")
 	LeaveUnconfirmed      = define(421, "leave_unconfirmed", zapcore.WarnLevel, "a target announced that it leaves; this instance holds that, but too few other control instances confirmed that they do, so the target got no acknowledgement")
 	TargetLimitInvalid    = define(416, "target_limit_invalid", zapcore.WarnLevel, "a target named a rate limit that cannot be understood; what was known before holds")
--- a/serve/control.go
+++ b/serve/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"auburnscale/authority"
 	"auburnscale/catalog"
@@ -52,6 +53,10 @@
 	// maxHeaderBytes bounds the header of a call.
 	maxHeaderBytes = 64 << 10
 	usageKind      = control.UsageIntentKind
+	// refusalLogFirst refusals of targets' calls are logged, and one each refusalLogInterval after that. A target
+	// that is refused calls again.
+	refusalLogFirst    = 20
+	refusalLogInterval = time.Second
 	// diskRetryInterval is the time between two checks whether the data folder of a
 	// failed disk is writable again.
 	diskRetryInterval = 500 * time.Millisecond
@@ -98,6 +103,8 @@
 	// of a configuration that one of them had.
 	othersHeard   atomic.Bool
 	othersVersion atomic.Uint64
+	// refusalLog bounds the lines about calls of targets that are refused.
+	refusalLog rate.Sometimes
 	// rowLog logs the rows of targets that other instances send and this one cannot use.
 	rowLog        *rowLog
 	metrics       tally.Scope
@@ -115,7 +122,7 @@
 	}
 	c := &Control{
 		settings: s, logger: logger, incarnation: newIncarnation(), outboundClients: out, startedAt: clock.Now(),
-		failures: make(chan error, 4), stopped: make(chan struct{}),
+		refusalLog: rate.Sometimes{First: refusalLogFirst, Interval: refusalLogInterval}, failures: make(chan error, 4), stopped: make(chan struct{}),
 	}
 	identity, err := c.openDataFolder()
 	if err != nil {
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -38,7 +38,9 @@
 		return err
 	}
 	if err != nil {
-		c.logger.Log(event.TargetRefused, zap.String("target", peer.Clip(row.Id, peer.MaxNameBytes)), zap.Error(err))
+		c.refusalLog.Do(func() {
+			c.logger.Log(event.TargetRefused, zap.String("target", peer.Clip(row.Id, peer.MaxNameBytes)), zap.Error(err))
+		})
 		c.metrics.Counter("target_calls_refused").Inc(1)
 		return fmt.Errorf("%w: %w", platform.ErrInvalid, err)
 	}
--- a/serve/poisoned_state_test.go
+++ b/serve/poisoned_state_test.go
@@ -15,7 +15,8 @@
 	"auburnscale/platform/standin"
 )
 
-// newServingFleet starts three control instances, an entry instance and a target that serves.
+// newServingFleet starts three control instances, an entry instance and a target that serves. Every control
+// instance has applied the configuration when it returns.
 func newServingFleet(t *testing.T) (*testFleet, *standin.Target) {
 	f := newTestFleet(t)
 	f.startEntry(10)
@@ -28,6 +29,10 @@
 	t.Cleanup(target.Close)
 	f.heartbeat(1, target, "ready", 1)
 	f.awaitServed(10, "/orders/")
+	for host := 1; host <= 3; host++ {
+		control := f.running[fmt.Sprint("control", host)].process.(*Control)
+		f.await("the configuration is applied", func() bool { return control.snapshot() != nil })
+	}
 	return f, target
 }
 
