--- a/soak/separate_faults.go
+++ b/soak/separate_faults.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"auburnscale/platform/standin"
@@ -30,33 +28,17 @@
 	for n := range oddCalls {
 		c := calls[(r.fault.Selector+n)%len(calls)]
 		control := r.env.controls[(r.fault.Selector+n)%len(r.env.controls)]
-		status, err := standin.Post(ctx, client, r.env.at(control.host, operatorPort).String(), c.path, []byte(c.body))
+		status, err := c.Send(ctx, client, r.env.at(control.host, operatorPort).String())
 		if err == nil && status < http.StatusBadRequest {
-			r.env.addFinding("odd calls are refused", "%s answered %s %.200q with status %d", control.name, c.path, c.body, status)
+			r.env.addFinding("odd calls are refused", "%s answered %s with status %d", control.name, c, status)
 		}
 	}
 }
 
-type oddCall struct{ path, body string }
-
-// oddCalls returns calls that no target or operator can have sent.
-func (t *target) oddCalls(which int) []oddCall {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	id, born := t.current.ID(), t.startTime.UnixMilli()
-	heartbeat := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":"v1","slots":16,"state":"ready","coldLeftMs":0,"stage":%q,"seq":%d,"born":%d}`,
-		t.service, t.address(), t.domain, t.stage, t.seq+100, born)
-	changed := func(old, new string) string { return strings.Replace(heartbeat, old, new, 1) }
-	deep := strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000)
-	const beat, leave, replace = "/Instances.Heartbeat/", "/Instances.Deregister/", "/Config.Replace"
-	return []oddCall{
-		{beat + "i-%ff", heartbeat}, {leave + "i-%c3%28", ""}, {beat + "a%2Fb", heartbeat}, {leave + id, `{"born":1e40}`}, {leave + id, "\xff"},
-		{beat + id, strings.NewReplacer(fmt.Sprintf(`,"born":%d`, born), "", `"version":"v1",`, "", `"coldLeftMs":0,`, "", t.service, otherService(t.service)).Replace(heartbeat)},
-		{beat + fmt.Sprint("odd-", which), changed(`"service":"`+t.service, `"service":"nobody`)}, {beat + id, changed(`"version":"v1",`, "")},
-		{beat + id, changed(`"slots":16`, `"slots":-16`)}, {beat + id, changed(`"coldLeftMs":0`, `"coldLeftMs":1e300`)}, {beat + id, changed(fmt.Sprint(targetPort), "99999")},
-		{beat + id, changed(`"seq":`, `"more":`+deep+`,"seq":`)}, {beat + id, changed(fmt.Sprint(born), "9e18")}, {beat + id, heartbeat[:len(heartbeat)/2]},
-		{beat + id, changed(`"zone":"`, "\"zone\":\"\xfe")}, {replace, "{\"version\":99999999,\"tenants\":[{\"name\":\"\xff\"}]}"}, {replace, `{"version":99999999,"routes":` + deep + `}`},
-	}
+// oddCalls returns calls of another writer, some of them about the current incarnation.
+func (t *target) oddCalls(number int) []standin.OddCall {
+	heartbeat, _, _ := t.heartbeat()
+	return standin.OddCalls(heartbeat, otherService(t.service), number)
 }
 
 func otherService(service string) string {
