--- a/exchange/idlepool.go
+++ b/exchange/idlepool.go
@@ -89,7 +89,7 @@
 
 // take removes and returns a usable idle connection to the address, or nil. It
 // takes the most recently used one, so that the others can expire. A connection that has carried
-// a request with the id is left out: a late response to that could not be told from the response
+// a request with the id is left out: a late response to that could not be distinguished from the response
 // to this one. So is one on which the target was not asked who it is, if the request asks for that.
 func (p *idlePool) take(address, id string, r *Request, now time.Time) *conn {
 	longest := p.maxIdleFor(r.Retryable, now)
--- a/exchange/late_test.go
+++ b/exchange/late_test.go
@@ -60,7 +60,7 @@
 	fmt.Fprint(c, again+okResponse(id, "response to "+id))
 }
 
-// Guards against an earlier refusal that a target writes once more on a kept connection, complete or cut, with
+// Guards against an earlier refusal that a target writes again on a kept connection, complete or cut, with
 // or without a request id, and that is taken for the refusal of a request which runs.
 func TestRepeatedRefusalIsNotBelieved(t *testing.T) {
 	const all = -1
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -129,7 +129,7 @@
 func (d *Dialer) connect(ctx context.Context, address string, r *Request) (*conn, error) {
 	now := time.Now()
 	d.idle.closeExpired(now)
-	// Without an id a late response could not be told from the request's own.
+	// Without an id a late response could not be distinguished from the request's own.
 	if id := r.Header.Get(RequestIDHeader); !r.NewConnection && id != "" {
 		for c := d.idle.take(address, id, r, now); c != nil; c = d.idle.take(address, id, r, now) {
 			if r.Identification == nil || c.identity == "" || c.identity == r.Identification.Want {
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -37,8 +37,8 @@
 }
 
 // identification returns the question for the target's start, on the connection over which it gets a
-// request whose stream may go on at another target, or nil. A start that the target's heartbeats do not
-// tell of yet may run another version, and would begin or continue the stream all the same.
+// request whose stream may go on at another target, or nil. A start of which no heartbeat
+// is known yet may run another version, and would begin or continue the stream all the same.
 // Plain services state no start, and neither do targets whose heartbeats name none.
 func (c *call) identification(t *route.Target) *exchange.Identification {
 	if !c.resumable() || c.service.Engine == nil || t.Incarnation() == 0 {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -68,7 +68,7 @@
 }
 
 // TestStreamWithoutPositionIsNotResumed has a target break off after an event without an id, and one that begins
-// again although it is told the last event: nothing is repeated.
+// again although the request names the last event: nothing is repeated.
 func TestStreamWithoutPositionIsNotResumed(t *testing.T) {
 	for name, events := range map[string]string{"no id": "id: 1\ndata: a\n\ndata: b\n\n", "begins again": "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"} {
 		f := newFixture(t, 2)
