--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -342,11 +342,11 @@
         return True
 
     def memory_of(self, name):
-        """Returns the present and the largest resident memory of the process, in MB, or None if it has ended."""
+        """Returns the resident memory of the process in MB, without files that are mapped, or None if it has ended."""
         try:
             with open("/proc/%d/status" % self.processes[name].pid) as f:
                 fields = dict(line.split(":", 1) for line in f if ":" in line)
-            return int(fields["VmRSS"].split()[0]) / 1024, int(fields["VmHWM"].split()[0]) / 1024
+            return int(fields["RssAnon"].split()[0]) / 1024
         except (OSError, KeyError):
             return None
 
