--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -155,6 +155,7 @@
         self.runs = []
         self.serve = Engine.serve_request
         self.silent = False
+        self.writers = set()
 
     def start_anew(self, id=None):
         self.id = id or "i-%08x" % random.getrandbits(32)
@@ -167,7 +168,21 @@
     async def listen(self):
         self.server = await asyncio.start_server(self.handle, self.ip, 8080, limit=1 << 20, backlog=1024)
 
+    async def crash(self, down_s):
+        """Ends at once with all connections, and starts again after the time, with a new id and nothing of before."""
+        self.lab.record("engine %s crashes", self.id)
+        self.silent = True
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(down_s)
+        self.start_anew()
+        await self.listen()
+        self.silent = False
+        await self.beat_once()
+
     async def handle(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -176,6 +191,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, message, reader, writer):
