--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -426,6 +427,9 @@
         print("target/auburnscale is missing; run the build of the deploy file first")
         sys.exit(2)
     disturbed = os.environ.get("TROUBLE", "1") != "0"
+    # Some cases hold over a thousand connections, clients' and servers' together.
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most if most != resource.RLIM_INFINITY and most < 8192 else 8192, most))
 
     async def run():
         lab = None
