control: refuse a configuration of version 0, and survive one in the log

What callers saw: after a first configuration of version 0 every control instance ended with a panic, again at each start.

Cause: version 0 stands for "no document". replaceDocument took the entry for overtaken by the document in effect, which was nil.

--- a/voter/voter.go
+++ b/voter/voter.go
@@ -260,8 +260,8 @@
 // maxCommandBytes bounds a command, so that a message to another voter can carry it.
 const maxCommandBytes = 24 << 20
 
-// checkCommand returns the refusal of a command that cannot be stored and sent to the other voters, or nil.
-// In the log it would take every leader for one with a failed disk.
+// checkCommand returns the refusal of a command that cannot be stored, sent to the other voters or applied by all of
+// them, or nil. In the log the former would take every leader for one with a failed disk.
 func checkCommand(command *peer.Command) *peer.Result {
 	if fields := peer.Unencodable(command); len(fields) > 0 {
 		return &peer.Result{Code: peer.Result_REFUSED, Detail: fmt.Sprintf("the command holds text that is not UTF-8: %v", fields)}
@@ -269,6 +269,10 @@
 	if size := proto.Size(command); size > maxCommandBytes {
 		return &peer.Result{Code: peer.Result_REFUSED, Detail: fmt.Sprintf("the command has %d bytes, at most %d are accepted", size, maxCommandBytes)}
 	}
+	if replace := command.GetReplace(); replace != nil && replace.Version == 0 {
+		// Voters of earlier releases end when they apply it.
+		return &peer.Result{Code: peer.Result_REFUSED, Detail: "version 0 is not a version of a configuration"}
+	}
 	return nil
 }
 
--- a/voter/voter_test.go
+++ b/voter/voter_test.go
@@ -62,3 +62,20 @@
 	}
 	v.Read(func(m *control.Machine) { require.EqualValues(t, 3, m.Document().Version) })
 }
+
+// Guards against a document of version 0, in a log that an earlier release wrote, that ends the voter at each start.
+func TestVersionZeroInTheLogIsSurvived(t *testing.T) {
+	path := t.TempDir()
+	folder, err := storage.Open(path)
+	require.NoError(t, err)
+	replace := func(version uint64) *peer.Command {
+		return &peer.Command{Body: &peer.Command_Replace{Replace: &peer.ReplaceDocument{Version: version, Body: []byte("{}")}}}
+	}
+	require.NoError(t, folder.Append(&peer.Hard{Term: 1}, []*peer.Entry{{Index: 1, Term: 1, Command: replace(0)}}))
+	require.NoError(t, folder.Sync())
+	folder.Close()
+	v := startVoter(t, path)
+	require.Equal(t, peer.Result_OK, propose(t, v, replace(7)).Code)
+	require.Equal(t, peer.Result_REFUSED, propose(t, v, replace(0)).Code, "another instance's proposal")
+	v.Read(func(m *control.Machine) { require.EqualValues(t, 7, m.Document().Version) })
+}
