gateway: no request ends with an empty 200

Cause: net/http answers for a handler that returns without a response, and two did. Callers that were there came to that path because a read deadline that passes after a request has been read cancels all contexts of its connection.

Change: a request without a response loses its connection; a caller that has closed its sending side gets a failure; the recorder of the connection keeps the deadline for a body, which ends with the body's last byte; a request whose time is over is refused at once; OPTIONS * is a request like others on all ports.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -70,10 +70,13 @@
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := FromContext(r.Context()); c.Begin() {
-			defer c.End()
-			next.ServeHTTP(w, r)
+		c := FromContext(r.Context())
+		if !c.Begin() {
+			// A handler that only returns would answer with an empty 200.
+			panic(http.ErrAbortHandler)
 		}
+		defer c.End()
+		next.ServeHTTP(w, r)
 	})
 	return l.Listener(listener)
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,6 +32,7 @@
 	// hold is the memory that the body takes, and connection the caller's connection. They are nil without limits.
 	hold        *account.Hold
 	connection  *connlimit.Conn
+	recorder    *headerRecorder
 	prompt      route.Prompt
 	fingerprint uint64
 	// suspects holds the ids by which crashes of targets are explained: those of the prompt
@@ -178,11 +179,13 @@
 }
 
 // respondWithFailure sends the caller the failure, or the target's own 5xx response if
-// there is one and the request may have run. It sends nothing to a caller that has
-// disconnected.
+// there is one and the request may have run.
 func (c *call) respondWithFailure(f *failure) {
 	if c.http.Context().Err() != nil {
 		c.server.logDisconnected(c)
+		// A caller that has closed only its sending side still reads.
+		c.writer.Header().Set("Connection", "close")
+		c.disconnected(f).write(c.writer, c.info.ID)
 		return
 	}
 	if c.lastFailure != nil && !f.notRun {
@@ -194,6 +197,14 @@
 	f.write(c.writer, c.info.ID)
 }
 
+// disconnected returns the failure of a request whose caller has closed its connection, in place of f.
+func (c *call) disconnected(f *failure) *failure {
+	if !f.notRun {
+		return fail(http.StatusBadGateway, "caller_disconnected", "the caller closed its connection or its sending side, and the request may have run")
+	}
+	return refuse(http.StatusServiceUnavailable, "caller_disconnected", "the caller closed its connection or its sending side before the request was run").withRetryAfter(minRetryAfter)
+}
+
 // run attempts the request until a response has been sent to the caller. It
 // returns a failure if no further attempt is allowed or possible.
 func (c *call) run() *failure {
--- a/gateway/headerrecorder.go
+++ b/gateway/headerrecorder.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"auburnscale/connlimit"
 )
@@ -20,6 +21,10 @@
 	mutex   sync.Mutex
 	parser  framingParser
 	headers []requestHeader
+	// handled counts the requests that nextHeader has returned the headers of.
+	handled int
+	// bodyLimited is true while a deadline of limitBody is set.
+	bodyLimited bool
 }
 
 // A requestHeader is what is recorded of the header of a request.
@@ -64,10 +69,46 @@
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
 		r.headers = append(r.headers, r.parser.parse(b[:n])...)
+		r.liftBodyLimit()
 	}
 	return n, err
 }
 
+// limitBody makes reads of the body of the request that is being handled fail from the time on. It does nothing once
+// the body has been read from the connection: net/http then reads on to learn that the client has disconnected, takes
+// a deadline that passes for that, and cancels the contexts of this request and of all others on the connection.
+func (r *headerRecorder) limitBody(until time.Time) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.bodyRead() {
+		return nil
+	}
+	r.bodyLimited = true
+	return r.Conn.SetReadDeadline(until)
+}
+
+// unlimitBody removes the deadline of limitBody.
+func (r *headerRecorder) unlimitBody() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.bodyLimited {
+		r.bodyLimited = false
+		// An error means that the connection is closed.
+		_ = r.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// liftBodyLimit removes the deadline of limitBody if the body has been read. The caller must hold the mutex.
+func (r *headerRecorder) liftBodyLimit() {
+	if r.bodyLimited && r.bodyRead() {
+		r.bodyLimited = false
+		_ = r.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// bodyRead reports whether the request that is being handled has been read whole. The caller must hold the mutex.
+func (r *headerRecorder) bodyRead() bool { return r.parser.whole >= r.handled }
+
 // nextHeader returns the header of the next request on the connection, in the order of their arrival, and whether
 // it was recorded. Nothing is recorded without a recorder.
 func (r *headerRecorder) nextHeader() (requestHeader, bool) {
@@ -81,6 +122,7 @@
 	}
 	header := r.headers[0]
 	r.headers = r.headers[1:]
+	r.handled++
 	return header, true
 }
 
@@ -109,6 +151,8 @@
 	// length is the announced length of the body, and left what is left of the body or of a chunk.
 	length, left int64
 	chunked      bool
+	// whole counts the requests whose last byte has been parsed.
+	whole int
 }
 
 type framingState int
@@ -162,11 +206,12 @@
 func (p *framingParser) skip(b []byte) []byte {
 	n := min(p.left, int64(len(b)))
 	p.left -= n
-	if p.left == 0 {
-		p.state = inHeader
-		if p.chunked {
-			p.state = inChunkSize
-		}
+	switch {
+	case p.left > 0:
+	case p.chunked:
+		p.state = inChunkSize
+	default:
+		p.endRequest()
 	}
 	return b[n:]
 }
@@ -180,12 +225,17 @@
 		p.beginChunk(line)
 	case inTrailer:
 		if line == "" {
-			p.state = inHeader
+			p.endRequest()
 		}
 	}
 	return false
 }
 
+func (p *framingParser) endRequest() {
+	p.state = inHeader
+	p.whole++
+}
+
 func (p *framingParser) endHeaderLine(line string) bool {
 	if p.header.line == "" {
 		p.header, p.length, p.chunked = requestHeader{line: line}, 0, false
@@ -221,6 +271,8 @@
 		p.state = inChunkSize
 	case p.length > 0:
 		p.state, p.left = inBody, p.length
+	case p.state != stopped:
+		p.endRequest()
 	}
 }
 
--- a/gateway/headerrecorder_test.go
+++ b/gateway/headerrecorder_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -95,3 +97,45 @@
 		require.Equal(t, want, got)
 	})
 }
+
+// deadlineConn records the last read deadline, and reads what is written to it.
+type deadlineConn struct {
+	net.Conn
+	data     chan string
+	deadline time.Time
+}
+
+func (c *deadlineConn) Read(b []byte) (int, error)        { return copy(b, <-c.data), nil }
+func (c *deadlineConn) SetReadDeadline(t time.Time) error { c.deadline = t; return nil }
+
+// Guards against a read deadline of a body that outlasts it: the deadline ends with the read that brings the last byte.
+func TestBodyLimitEndsWithTheBody(t *testing.T) {
+	for name, test := range map[string]struct{ head, body string }{
+		"length": {"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\n", "abc"},
+		"chunks": {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\nabc\r\n0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inner := &deadlineConn{data: make(chan string, 4)}
+			r := &headerRecorder{Conn: inner}
+			read := func(text string) {
+				inner.data <- text
+				_, err := r.Read(make([]byte, 100))
+				require.NoError(t, err)
+			}
+			read(test.head)
+			_, recorded := r.nextHeader()
+			require.True(t, recorded)
+			until := time.Now().Add(time.Minute)
+			require.NoError(t, r.limitBody(until))
+			read(test.body[:len(test.body)-1])
+			require.Equal(t, until, inner.deadline)
+			read(test.body[len(test.body)-1:])
+			require.Zero(t, inner.deadline)
+			require.NoError(t, r.limitBody(until), "the body has been read")
+			require.Zero(t, inner.deadline)
+			read(test.head)
+			require.NoError(t, r.limitBody(until), "the next request is not handled yet")
+			require.Zero(t, inner.deadline)
+		})
+	}
+}
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -13,14 +13,13 @@
 
 	"auburnscale/account"
 	"auburnscale/catalog"
-	"auburnscale/connlimit"
 	"auburnscale/route"
 )
 
 // prepare finds the request's route, workspace and service and reads its body. It
 // always returns a call, with a failure if the request must not run.
-func (s *Server) prepare(w http.ResponseWriter, r *http.Request, connection *connlimit.Conn) (*call, *failure) {
-	c := &call{server: s, writer: w, http: r, connection: connection, arrived: time.Now(), info: s.deps.Codec.DecodeRequest(r.Header)}
+func (s *Server) prepare(w http.ResponseWriter, r *http.Request, recorder *headerRecorder) (*call, *failure) {
+	c := &call{server: s, writer: w, http: r, recorder: recorder, connection: recorder.limited(), arrived: time.Now(), info: s.deps.Codec.DecodeRequest(r.Header)}
 	c.configuration = s.awaitConfiguration(r.Context(), c.info.Timeout)
 	if c.configuration == nil {
 		return c, refuse(http.StatusServiceUnavailable, "no_configuration", "this instance has not received a configuration yet").withRetryAfter(max(minStartRetryAfter, typicalStartTime-time.Since(s.started)))
@@ -37,6 +36,9 @@
 	if wait := c.info.Timeout; wait > 0 && wait < c.route.Timeout {
 		c.deadline = c.arrived.Add(wait)
 	}
+	if !time.Now().Before(c.deadline) {
+		return c, refuse(http.StatusServiceUnavailable, "timeout", "the time for the request was over before it could be sent to a target").withRetryAfter(c.retryAfter())
+	}
 	if f := c.readBody(); f != nil {
 		return c, f
 	}
@@ -46,7 +48,7 @@
 // awaitConfiguration returns the current configuration, or nil. On an instance that
 // has just started it waits for the first configuration, for a part of the caller's
 // timeout: the configuration will arrive soon, and a refusal would cost the caller
-// a retry.
+// a retry. The end of a planned stop ends the wait.
 func (s *Server) awaitConfiguration(ctx context.Context, timeout time.Duration) *catalog.Snapshot {
 	until := time.Now().Add(min(maxConfigurationWait, timeout/configurationWaitDivisor))
 	if end := s.started.Add(typicalStartTime + maxConfigurationWait); until.After(end) {
@@ -59,6 +61,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-s.stopped.Done():
+			return nil
 		case <-time.After(configurationPollInterval):
 		}
 	}
@@ -93,11 +97,10 @@
 		c.writer.Header().Set("Connection", "close")
 		return refuse(http.StatusRequestEntityTooLarge, "too_large", "the request body exceeds the size limit")
 	}
-	connection := http.NewResponseController(c.writer)
-	if err := connection.SetReadDeadline(c.deadline); err != nil {
+	if err := c.recorder.limitBody(c.deadline); err != nil {
 		return refuse(http.StatusServiceUnavailable, "no_deadline", "the time for reading the request cannot be limited")
 	}
-	limiter := &readLimiter{connection: connection}
+	limiter := &readLimiter{recorder: c.recorder}
 	unwatch := context.AfterFunc(c.server.stopped, limiter.interrupt)
 	c.hold = c.server.deps.Account.Open(account.Body, limiter.interrupt)
 	c.connection.Await(c.hold)
@@ -141,9 +144,9 @@
 // A readLimiter ends the reading of a body, unless that is finished. Failures are ignored: the connection is closed
 // then, which ends the request anyway.
 type readLimiter struct {
-	connection *http.ResponseController
-	mutex      sync.Mutex
-	finished   bool
+	recorder *headerRecorder
+	mutex    sync.Mutex
+	finished bool
 }
 
 // interrupt makes the read that is in progress fail.
@@ -151,7 +154,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if !l.finished {
-		_ = l.connection.SetReadDeadline(time.Now())
+		_ = l.recorder.limitBody(time.Now())
 	}
 }
 
@@ -160,7 +163,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.finished = true
-	_ = l.connection.SetReadDeadline(time.Time{})
+	l.recorder.unlimitBody()
 }
 
 // computeFingerprint returns a hash that is the same when the caller sends the same
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -153,8 +153,9 @@
 	s.requestServer = &http.Server{
 		Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: withHeaderRecorder, ConnState: s.idle.stateChanged, ErrorLog: deps.Logger.Standard(),
+		DisableGeneralOptionsHandler: true,
 	}
-	s.readinessServer = &http.Server{Handler: http.HandlerFunc(s.handleReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: deps.Logger.Standard()}
+	s.readinessServer = &http.Server{Handler: http.HandlerFunc(s.handleReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: deps.Logger.Standard(), DisableGeneralOptionsHandler: true}
 	return s
 }
 
@@ -251,24 +252,33 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// handle handles one request.
+// handle handles one request. A request that gets no response loses its connection, which net/http does only for
+// handlers that panic with http.ErrAbortHandler: for others it sends an empty 200.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
 	recorder, _ := r.Context().Value(recorderKey{}).(*headerRecorder)
-	if connection := recorder.limited(); connection.Begin() {
-		defer connection.End()
-	} else {
-		return
+	connection := recorder.limited()
+	if !connection.Begin() {
+		panic(http.ErrAbortHandler)
+	}
+	defer connection.End()
+	response := &responseWriter{ResponseWriter: w, server: s, connection: recorder}
+	s.respond(response, r, recorder)
+	if !response.begun {
+		panic(http.ErrAbortHandler)
 	}
+}
+
+// respond runs the request and sends the response.
+func (s *Server) respond(w http.ResponseWriter, r *http.Request, recorder *headerRecorder) {
 	header, recorded := recorder.nextHeader()
-	w = &closingWriter{ResponseWriter: w, server: s, connection: recorder}
 	if failure := checkFraming(r, header, recorded); failure != nil {
 		w.Header().Set("Connection", "close")
 		failure.write(w, "")
 		return
 	}
-	c, failure := s.prepare(w, r, recorder.limited())
+	c, failure := s.prepare(w, r, recorder)
 	defer c.hold.Close()
 	if failure != nil {
 		s.logRefusal(c, failure)
@@ -278,16 +288,19 @@
 	c.serve()
 }
 
-// A closingWriter announces, in a response of a stopping instance, that its connection is closed, unless another
+// A responseWriter announces, in a response of a stopping instance, that its connection is closed, unless another
 // request has arrived on it, which would get no response.
-type closingWriter struct {
+type responseWriter struct {
 	http.ResponseWriter
 	server     *Server
 	connection *headerRecorder
+	// begun is true once the status of the response has been set.
+	begun bool
 }
 
 // WriteHeader sends the header of the response.
-func (w *closingWriter) WriteHeader(status int) {
+func (w *responseWriter) WriteHeader(status int) {
+	w.begun = true
 	if w.server.stopping.Load() && !w.connection.requestArrived() {
 		w.Header().Set("Connection", "close")
 	}
@@ -295,7 +308,7 @@
 }
 
 // Unwrap returns the writer of the connection, for [http.ResponseController].
-func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // checkFraming returns the refusal of a request whose body may be taken for another request by those who forward or
 // run it, or nil.
--- a/serve/control.go
+++ b/serve/control.go
@@ -275,7 +275,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	c.operatorServer = &http.Server{Handler: c.guard.bodies(platform.ControlHandler(c), callBytesFactor), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: operatorReadTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: c.logger.Standard()}
+	c.operatorServer = &http.Server{Handler: c.guard.bodies(platform.ControlHandler(c), callBytesFactor), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: operatorReadTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: c.logger.Standard(), DisableGeneralOptionsHandler: true}
 	c.listener = c.guard.limiter("operators", operatorShare).Apply(c.operatorServer, c.listener)
 	return nil
 }
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for metrics: %w", err)
 	}
-	m := &metricsServer{http: &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}, logger: logger}
+	m := &metricsServer{http: &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}, logger: logger}
 	m.listener = g.limiter("metrics", metricsShare).Apply(m.http, listener)
 	go m.run()
 	return m, nil
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -149,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: 2 * idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: 2 * idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
 	if certificates != nil {
 		server.TLSConfig = certificates.MutualServerConfig()
 	}
