quarantine: find a crashing block behind any number of others

Change: all shared blocks are checked and reported. The bounds that remain are on the sums, and keep the fingerprint, blocks not known to have been served, and blocks of several crashes. Messages keep their form.

--- a/caller/suspects.go
+++ b/caller/suspects.go
@@ -10,8 +10,8 @@
 )
 
 // maxSuspectMessages bounds the messages of a request by which crashes of targets are
-// explained.
-const maxSuspectMessages = 64
+// explained. Hashing them takes less than the decoding of the body did.
+const maxSuspectMessages = 16384
 
 // suspectIDs returns the ids by which crashes of targets are explained: those of the parts of
 // the prompt that other requests may share, in order, and the digest of the request. The parts
@@ -19,7 +19,7 @@
 func suspectIDs(body *completionBody, prefixBlocks []uint64, digest uint64) []uint64 {
 	var ids []uint64
 	if body.Prompt != nil {
-		ids = append(ids, prefixBlocks[:min(len(prefixBlocks), maxSuspectMessages)]...)
+		ids = append(ids, prefixBlocks...)
 		return append(ids, digest)
 	}
 	for _, m := range body.Messages[:min(max(0, len(body.Messages)-1), maxSuspectMessages)] {
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -176,15 +176,12 @@
 	return h.Sum64()
 }
 
-// maxSuspectBlocks bounds the prompt blocks by which crashes of targets are explained.
-const maxSuspectBlocks = 64
-
 // suspectIDs returns the ids of the shared blocks of the prompt, in order, and the
-// fingerprint.
+// fingerprint. Any of the blocks may be the one that crashes targets.
 func (c *call) suspectIDs() []uint64 {
 	shared := sharedBlocks(c.info)
-	ids := make([]uint64, 0, min(len(shared), maxSuspectBlocks)+1)
-	for _, block := range shared[:min(len(shared), maxSuspectBlocks)] {
+	ids := make([]uint64, 0, len(shared)+1)
+	for _, block := range shared {
 		ids = append(ids, block.ID)
 	}
 	return append(ids, c.fingerprint)
@@ -203,7 +200,9 @@
 	}
 	chain := xxhash.Sum64String(info.Model)
 	tokens := int64(0)
-	for _, block := range sharedBlocks(info) {
+	shared := sharedBlocks(info)
+	p.Blocks, p.BlockEnds = make([]uint64, 0, len(shared)), make([]int64, 0, len(shared))
+	for _, block := range shared {
 		chain = (chain ^ block.ID) * fnvPrime
 		tokens += block.Tokens
 		p.Blocks = append(p.Blocks, chain)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -1,8 +1,11 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -200,3 +203,35 @@
 
 // listSuspects passes the list of a control instance to the gateway.
 func (f *fixture) listSuspects(list ...*peer.SuspectBlock) { f.blocks.Received("control", list) }
+
+// Guards against blocks that the quarantine does not know since they stand behind many others (review/9), or in a further
+// line of the header.
+func TestLaterBlocksAreSuspects(t *testing.T) {
+	var others []string
+	for n := range 300 {
+		others = append(others, fmt.Sprintf("%x:10", 0x10000+n))
+	}
+	headers := func(blocks string) []string {
+		return []string{"X-Model", "m", "X-Token-Count", "5000,10", "X-Prefix-Hash", blocks}
+	}
+	behind := headers(strings.Join(others, ",") + ",bad:50,c3:50")
+	t.Run("reported", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.targets[0].Script(standin.TruncateStreamAfter(0))
+		f.send(http.MethodPost, "/streams/a", behind...)
+		report, _ := f.blocks.Report("")
+		require.Len(t, report.GetCrashed(), 1)
+		require.Contains(t, report.Crashed[0].Blocks, uint64(badBlock))
+	})
+	t.Run("refused", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.quarantineBlock(badBlock)
+		response, _ := f.send(http.MethodPost, "/streams/a", behind...)
+		require.Equal(t, http.StatusServiceUnavailable, response.status)
+		require.Contains(t, response.body, `"code":"quarantined"`)
+		r, _ := f.request(context.Background(), http.MethodPost, "/streams/a", headers("a1:900")...)
+		r.Header.Add("X-Prefix-Hash", "bad:50,c3:50")
+		require.Equal(t, http.StatusServiceUnavailable, send(r).status, "second line of the header")
+		require.Zero(t, f.arrivals())
+	})
+}
--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -24,12 +24,18 @@
 	// instances, so that the first one decides before the next.
 	trialSpread    = 3 * time.Second
 	minTrialSpread = 10 * time.Second
-	// maxReports bounds the crashed requests that are kept for control instances which have
-	// not received them, maxReportedRequests those in a message.
+	// maxReports and maxKeptBlocks bound the crashed requests that are kept for control instances
+	// which have not received them, and the blocks of all of them. maxReportedRequests and
+	// maxReportedBlocks are those bounds for one message, which holds one request at least.
 	maxReports          = 512
+	maxKeptBlocks       = 1 << 17
 	maxReportedRequests = 64
+	maxReportedBlocks   = 8192
+	// maxBlocksPerRequest bounds the blocks of one request in a report: as many as fit into a
+	// header of 16 KiB.
+	maxBlocksPerRequest = 4096
 	// soundGeneration is the number of served blocks after which the older half is forgotten.
-	soundGeneration = 8192
+	soundGeneration = 1 << 16
 	// viewTTL is how long the list of a control instance that no longer responds is kept.
 	viewTTL = 30 * time.Second
 	// aloneAfter is the time without a list of any control instance after which this instance
@@ -49,9 +55,11 @@
 	mutex sync.Mutex
 	// own holds the evidence of this instance, which decides if no control instance can be
 	// reached.
-	own       *Evidence
-	held      map[uint64]*heldBlock
-	reports   []crashReport
+	own     *Evidence
+	held    map[uint64]*heldBlock
+	reports []crashReport
+	// kept counts the blocks of the reports.
+	kept      int
 	lastSeq   uint64
 	sound     [2]map[uint64]time.Duration
 	views     map[string]*controlView
@@ -196,12 +204,15 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.lastSeq++
+	b.extendHolds(blocks)
+	blocks = b.suspectsAmong(blocks)
 	request := &peer.CrashedRequest{Target: target, Incarnation: incarnation, Blocks: blocks}
 	b.reports = append(b.reports, crashReport{b.lastSeq, b.now(), request})
-	if len(b.reports) > maxReports {
-		b.reports = slices.Delete(b.reports, 0, len(b.reports)-maxReports)
+	b.kept += len(blocks)
+	for len(b.reports) > maxReports || b.kept > maxKeptBlocks {
+		first := b.reports[0].seq
+		b.dropReports(func(r crashReport) bool { return r.seq == first })
 	}
-	b.extendHolds(blocks)
 	b.own.Record(&peer.SuspectReport{Crashed: []*peer.CrashedRequest{request}, Sound: b.soundAmong(blocks)})
 	if b.alone() {
 		b.merge(b.own.List(), true)
@@ -209,6 +220,47 @@
 	b.notify()
 }
 
+// suspectsAmong returns the blocks of a crashed request, in order, or maxBlocksPerRequest of them: the fingerprint, which
+// is the last, then those that are not known to have been served, then the others.
+func (b *Blocks) suspectsAmong(blocks []uint64) []uint64 {
+	if len(blocks) <= maxBlocksPerRequest {
+		return blocks
+	}
+	last := len(blocks) - 1
+	unserved := 0
+	for _, block := range blocks[:last] {
+		if _, served := b.soundAt(block); !served {
+			unserved++
+		}
+	}
+	left := maxBlocksPerRequest - 1
+	leftServed := max(0, left-unserved)
+	chosen := make([]uint64, 0, maxBlocksPerRequest)
+	for _, block := range blocks[:last] {
+		_, served := b.soundAt(block)
+		if left == 0 || served && leftServed == 0 {
+			continue
+		}
+		if served {
+			leftServed--
+		}
+		left--
+		chosen = append(chosen, block)
+	}
+	return append(chosen, blocks[last])
+}
+
+// dropReports removes the reports for which drop returns true.
+func (b *Blocks) dropReports(drop func(crashReport) bool) {
+	b.reports = slices.DeleteFunc(b.reports, func(r crashReport) bool {
+		if !drop(r) {
+			return false
+		}
+		b.kept -= len(r.request.Blocks)
+		return true
+	})
+}
+
 // alone reports whether no control instance has sent a list lately.
 func (b *Blocks) alone() bool {
 	for _, v := range b.views {
@@ -246,7 +298,7 @@
 		return
 	}
 	b.own.retract(crashID{target, incarnation}, sent)
-	b.reports = slices.DeleteFunc(b.reports, func(r crashReport) bool {
+	b.dropReports(func(r crashReport) bool {
 		return r.request.Target == target && r.request.Incarnation == incarnation && r.at < sent
 	})
 }
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -1,6 +1,10 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,11 +45,13 @@
 	// them slowly.
 	decisionInterval = 100 * time.Millisecond
 
-	// Bounds of what is kept and listed.
+	// Bounds of what is kept and listed. A crash has the blocks of all requests that were in
+	// flight; maxBlocks bounds the blocks of all crashes together.
 	maxCrashes        = 128
-	maxBlocksPerCrash = 512
+	maxBlocksPerCrash = 1 << 15
+	maxBlocks         = 1 << 17
 	maxVerdicts       = 256
-	maxSoundBlocks    = 8192
+	maxSoundBlocks    = 1 << 16
 	maxListedSuspects = 128
 )
 
@@ -65,8 +71,9 @@
 
 	mutex   sync.Mutex
 	crashes map[crashID]*crash
-	// counts holds the number of crashes with each block.
+	// counts holds the number of crashes with each block, and blocks the sum of them.
 	counts   map[uint64]int
+	blocks   int
 	sound    map[uint64]time.Duration
 	verdicts map[uint64]*verdict
 	// revision counts the changes of what List returns, decisions those of verdicts.
@@ -200,10 +207,34 @@
 			c.blocks[block] = max(c.blocks[block], position)
 			if !known {
 				e.counts[block]++
+				e.blocks++
 			}
 		}
 		e.countAgain(block, id, c.at)
 	}
+	e.trimBlocks()
+}
+
+// trimBlocks takes blocks from the oldest crashes until at most maxBlocks are left: those of no other crash first, which
+// explain the least.
+func (e *Evidence) trimBlocks() {
+	if e.blocks <= maxBlocks {
+		return
+	}
+	byAge := slices.SortedFunc(maps.Values(e.crashes), func(x, y *crash) int { return cmp.Compare(x.at, y.at) })
+	for _, shared := range []int{1, math.MaxInt} {
+		for _, c := range byAge {
+			for block := range c.blocks {
+				if e.blocks <= maxBlocks {
+					return
+				}
+				if e.counts[block] <= shared {
+					delete(c.blocks, block)
+					e.uncount(block)
+				}
+			}
+		}
+	}
 }
 
 // countAgain adds a crash under a quarantined block to its verdict.
@@ -242,6 +273,7 @@
 }
 
 func (e *Evidence) uncount(block uint64) {
+	e.blocks--
 	if e.counts[block]--; e.counts[block] == 0 {
 		delete(e.counts, block)
 	}
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -29,6 +29,8 @@
 	soundRate, badRate float64
 	// firsts, seconds are the numbers of different first and second blocks of sound prompts.
 	firsts, seconds int
+	// common blocks stand between the first and the second of all prompts, and as many of its own as own in each.
+	common, own int
 	// badFirst returns the first block of a bad prompt.
 	badFirst func(random *rand.Rand) uint64
 	// crashEvery crashes an engine at random that often, sharedCrash as many of them at once.
@@ -173,13 +175,13 @@
 func (s *simulation) soundArrives() {
 	s.after(time.Duration(s.random.ExpFloat64()/s.soundRate*float64(time.Second)), s.soundArrives)
 	first := uint64(1 + min(s.random.IntN(s.firsts), s.random.IntN(s.firsts)))
-	refused := s.send([]uint64{first, uint64(1_000_000 + s.random.IntN(s.seconds))})
+	refused := s.send(first, uint64(1_000_000+s.random.IntN(s.seconds)))
 	s.sound = append(s.sound, soundOutcome{s.clock.at, first, refused})
 }
 
 func (s *simulation) badArrives() {
 	s.after(time.Duration(s.random.ExpFloat64()/s.badRate*float64(time.Second)), s.badArrives)
-	s.send([]uint64{s.badFirst(s.random), bad})
+	s.send(s.badFirst(s.random), bad)
 }
 
 func (s *simulation) crashArrives() {
@@ -189,12 +191,23 @@
 	}
 }
 
-// send sends a request with the shared blocks to an entry at random and from there to an engine.
+// send sends a request with the first and the second block to an entry at random and from there to an engine.
 // It returns whether it was refused for its blocks.
-func (s *simulation) send(shared []uint64) (refused bool) {
+func (s *simulation) send(first, second uint64) (refused bool) {
 	s.requests++
 	id := s.requests
-	request := &simRequest{entry: s.random.IntN(s.entries), blocks: append(shared, 1<<40+id)}
+	blocks := []uint64{first}
+	for n := range s.common {
+		blocks = append(blocks, uint64(2_000_000+n))
+	}
+	for n := range s.own {
+		blocks = append(blocks, 1<<50+id<<16+uint64(n))
+	}
+	return s.sendBlocks(id, append(blocks, second, 1<<40+id), second == bad)
+}
+
+func (s *simulation) sendBlocks(id uint64, prompt []uint64, isBad bool) (refused bool) {
+	request := &simRequest{entry: s.random.IntN(s.entries), blocks: prompt}
 	blocks := s.blocks[request.entry]
 	request.admission = blocks.Admit(request.blocks)
 	if request.admission.Refused {
@@ -202,7 +215,6 @@
 	}
 	number := s.random.IntN(len(s.engines))
 	engine := s.engines[number]
-	isBad := shared[1] == bad
 	if engine.down {
 		blocks.End(request.admission)
 		return false
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -15,7 +15,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
-	b.reports = slices.DeleteFunc(b.reports, func(r crashReport) bool { return now-r.at > evidenceTTL })
+	b.dropReports(func(r crashReport) bool { return now-r.at > evidenceTTL })
 	view := b.views[server]
 	if view == nil {
 		view = newControlView()
@@ -23,10 +23,15 @@
 	report := &peer.SuspectReport{}
 	position := view.received
 	sound := map[uint64]bool{}
+	reported := 0
 	for _, r := range b.reports {
-		if r.seq <= view.received || len(report.Crashed) >= maxReportedRequests {
+		if r.seq <= view.received {
 			continue
 		}
+		reported += len(r.request.Blocks)
+		if n := len(report.Crashed); n >= maxReportedRequests || n > 0 && reported > maxReportedBlocks {
+			break
+		}
 		position = r.seq
 		report.Crashed = append(report.Crashed, &peer.CrashedRequest{
 			Target: r.request.Target, Incarnation: r.request.Incarnation, AgeMs: (now - r.at).Milliseconds(), Blocks: r.request.Blocks,
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -238,6 +238,15 @@
 			suspects = append(suspects, listedBlock{block, episodes(c.times), c.times[n-1]})
 		}
 	}
+	if len(suspects) > maxListedSuspects {
+		slices.SortFunc(suspects, func(x, y listedBlock) int {
+			if candidates[x.block].better(candidates[y.block]) {
+				return -1
+			}
+			return 1
+		})
+		suspects = suspects[:maxListedSuspects]
+	}
 	slices.SortFunc(suspects, func(x, y listedBlock) int { return cmp.Compare(x.block, y.block) })
-	return append(list, suspects[:min(len(suspects), maxListedSuspects)]...)
+	return append(list, suspects...)
 }
