exchange: a status outside HTTP is no response

What callers saw: 600 and 999 passed on; 000 to 099 and 101 waited for until the deadline; on connections of their own 000 was taken for 200.

Cause: each status below 200 counted as an interim response, and the library's getter returns 200 for 0. No layer checked that a response is one.

Change: exchange accepts status 100 and 102 to 599 of HTTP/1 only, on kept, new and one-shot connections and behind interim responses; anything else fails the exchange, and the request may have run.

--- a/caller/call.go
+++ b/caller/call.go
@@ -257,6 +257,10 @@
 			message := fmt.Sprintf("the call ran and returned status %d, but its response was too large to store", result.Outcome.Status)
 			return nil, failed(fasthttp.StatusConflict, CodeOutcomeUnknown, message)
 		}
+		if !exchange.ValidStatus(int(result.Outcome.Status)) {
+			// An earlier release stored such outcomes.
+			return nil, failed(fasthttp.StatusBadGateway, CodeTargetFailed, fmt.Sprintf("the call ran, and its target returned status %d", result.Outcome.Status))
+		}
 		return plainservice.NewResponse(int(result.Outcome.Status), result.Outcome.ContentType, result.Outcome.Body), nil
 	case peer.Result_CONFLICT:
 		return nil, reject(fasthttp.StatusUnprocessableEntity, CodeIdempotencyKeyConflict, result.Detail)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -169,7 +169,11 @@
 	}
 	resp.response.StreamBody = true
 	resp.response.SkipBody = request.Header.IsHead()
-	if err := resp.response.ReadLimitBody(bufio.NewReaderSize(resp.connection, oneShotBufferBytes), limit); err != nil {
+	reader := bufio.NewReaderSize(resp.connection, oneShotBufferBytes)
+	if err := skipInterim(reader); err != nil {
+		return fmt.Errorf("read response: %w", err)
+	}
+	if err := resp.response.ReadLimitBody(reader, limit); err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
 	sent := request.Header.Peek(RequestIDHeader)
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -203,6 +203,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(response.ProtoMajor, response.StatusCode); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
