serve: a control instance waits for room when it starts on a full disk

Cause: a new identity is stored before anything else. On a full disk the instance ended, also when its disk filled again while it was built anew after a failure.

Evidence: TestStartOnAFullDisk passes; NewFleetInstance returned the error to the program, which ended.

--- a/command/serve.go
+++ b/command/serve.go
@@ -78,7 +78,7 @@
 }
 
 func runOnce(ctx context.Context, file string, s settings.Settings, reloadSignals <-chan os.Signal, logger *event.Logger) error {
-	process, err := serve.NewFleetInstance(s, logger)
+	process, err := serve.StartFleetInstance(ctx, s, logger)
 	if err != nil {
 		return err
 	}
--- a/serve/control.go
+++ b/serve/control.go
@@ -128,6 +128,9 @@
 	}
 	identity, err := c.openDataFolder()
 	if err != nil {
+		if c.folder != nil {
+			c.folder.Close()
+		}
 		return nil, err
 	}
 	scope, scrape := newMetricsScope(s.Instance)
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -106,6 +107,25 @@
 	Reload(s settings.Settings)
 }
 
+// StartFleetInstance is like [NewFleetInstance], but waits while the disk of the data folder is full: the identity of a new
+// control instance must be stored first, and its log opened. It returns the last error if the context ends first.
+func StartFleetInstance(ctx context.Context, s settings.Settings, logger *event.Logger) (Reloader, error) {
+	for logged := false; ; logged = true {
+		instance, err := NewFleetInstance(s, logger)
+		if !errors.Is(err, syscall.ENOSPC) && !errors.Is(err, syscall.EDQUOT) {
+			return instance, err
+		}
+		if !logged {
+			logger.Log(event.StorageFailed, zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(diskRetryInterval):
+		}
+	}
+}
+
 // NewFleetInstance builds an instance of a fleet with seed discovery: a control
 // instance if the settings give an address for operators, an entry instance
 // otherwise.
