gateway: reset the connection of a broken stream of HTTP/1.0

What callers saw: a stream that was broken off as a complete one, if they speak HTTP/1.0, whose responses end with their connection.

Change: the connection is reset instead of closed. Callers of HTTP/1.1 see the missing last chunk as before.

Evidence: TestBrokenStreamOfHTTP10IsReset failed on both kinds of stream before, and passes; it also reads a whole stream.

--- a/gateway/early_reset_test.go
+++ b/gateway/early_reset_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +59,26 @@
 		})
 	}
 }
+
+// Guards against a stream that was broken off and ends like a whole one for a caller of HTTP/1.0, whose responses end with
+// their connection.
+func TestBrokenStreamOfHTTP10IsReset(t *testing.T) {
+	for _, path := range []string{"/streams/1", "/resumable/1"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.targets[0].Script(standin.TruncateStreamAfter(1))
+			c := f.stopClient()
+			c.write(strings.Replace(rawRequest("POST", path, "old"), "HTTP/1.1", "HTTP/1.0", 1))
+			response := c.read()
+			require.Equal(t, http.StatusOK, response.status)
+			require.Contains(t, response.body, "piece 1")
+			require.Error(t, response.err)
+		})
+	}
+	f := newFixture(t, 1)
+	c := f.stopClient()
+	c.write(strings.Replace(rawRequest("POST", "/streams/1", "old"), "HTTP/1.1", "HTTP/1.0", 1))
+	response := c.read()
+	require.NoError(t, response.err, "a whole stream")
+	require.Equal(t, http.StatusOK, response.status)
+}
--- a/gateway/headerrecorder.go
+++ b/gateway/headerrecorder.go
@@ -62,6 +62,18 @@
 	return connlimit.Of(r.Conn)
 }
 
+// resetOnClose makes the connection end with a reset when it is closed.
+func (r *headerRecorder) resetOnClose() {
+	inner := r.Conn
+	if limited := connlimit.Of(inner); limited != nil {
+		inner = limited.Conn
+	}
+	if c, ok := inner.(*net.TCPConn); ok {
+		// An error means that the connection is closed.
+		_ = c.SetLinger(0)
+	}
+}
+
 // Read reads from the connection and records the headers.
 func (r *headerRecorder) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -154,8 +154,12 @@
 }
 
 // abort closes the caller's connection in the middle of the response. It panics, as
-// net/http requires for that.
+// net/http requires for that. To a caller of HTTP/1.0, which gets no chunks, the end of the
+// connection is that of the response, unless the connection is reset.
 func (r *relay) abort(t *route.Target, err error) {
+	if !r.call.http.ProtoAtLeast(1, 1) {
+		r.call.recorder.resetOnClose()
+	}
 	r.call.recorded.Broken()
 	r.call.server.logCut(r.call, t, err)
 	panic(http.ErrAbortHandler)
