soak: bad statuses, early resets, half-closed callers, version 0

Drawn with a random stream of their own, so that seeds keep the faults that they had. Callers that close their sending side, leave hardly any time or ask for the options of the server must get no success that no target gave.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -110,6 +110,9 @@
 			}
 		}
 		r.awaitEnd(ctx)
+	case BadResponses:
+		r.target().scriptBadResponses(r.fault.Selector)
+		r.awaitEnd(ctx)
 	case IsolateEntry:
 		r.isolate(ctx, func() {})
 	case ReleaseOutOfStep:
@@ -148,6 +151,8 @@
 		r.writeOdd(ctx)
 	case LateRequests:
 		r.requestLate(ctx)
+	case OddCallers:
+		r.callOddly(ctx)
 	}
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -47,6 +47,9 @@
 
 	LateRequests      Kind = "late_requests"
 	FailContinuations Kind = "fail_continuations"
+
+	BadResponses Kind = "bad_responses"
+	OddCallers   Kind = "odd_callers"
 )
 
 var (
@@ -64,10 +67,13 @@
 // laterKinds are drawn apart from these, for the same reason. Late requests belong to a planned stop.
 var laterKinds = []Kind{LateRequests, FailContinuations}
 
+// protocolKinds are drawn apart from these. Odd callers disturb nothing, and count as planned.
+var protocolKinds = []Kind{BadResponses, OddCallers}
+
 // Planned reports whether the kind is an ordinary operation, during which no
 // request may be lost.
 func (k Kind) Planned() bool {
-	return k == OddWriter || k == LateRequests || slices.Contains(plannedKinds, k)
+	return k == OddWriter || k == LateRequests || k == OddCallers || slices.Contains(plannedKinds, k)
 }
 
 // A Fault represents a fault or ordinary operation that starts at At, counted from
@@ -118,6 +124,7 @@
 	}
 	faults = append(faults, planSeparate(seed, span)...)
 	faults = append(faults, planLater(seed, span)...)
+	faults = append(faults, planProtocol(seed, span)...)
 	faults = slices.DeleteFunc(faults, func(f Fault) bool { return f.At >= span })
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
@@ -139,12 +146,25 @@
 }
 
 // planLater draws the faults of laterKinds: seeds with planned kinds only get late requests only.
-func planLater(seed uint64, span time.Duration) (faults []Fault) {
-	random := rand.New(rand.NewPCG(seed, 7))
+func planLater(seed uint64, span time.Duration) []Fault {
 	kinds := laterKinds
 	if seed%3 == 0 {
 		kinds = []Kind{LateRequests}
 	}
+	return planApart(rand.New(rand.NewPCG(seed, 7)), kinds, span)
+}
+
+// planProtocol draws the faults of protocolKinds: seeds with planned kinds only get odd callers only.
+func planProtocol(seed uint64, span time.Duration) []Fault {
+	kinds := protocolKinds
+	if seed%3 == 0 {
+		kinds = []Kind{OddCallers}
+	}
+	return planApart(rand.New(rand.NewPCG(seed, 9)), kinds, span)
+}
+
+// planApart draws faults of the kinds, one after the other.
+func planApart(random *rand.Rand, kinds []Kind, span time.Duration) (faults []Fault) {
 	for at := time.Duration(random.Int64N(int64(meanSeriesPause))); at < span; at += time.Duration(random.Int64N(int64(2 * meanSeriesPause))) {
 		f := Fault{At: at, Kind: kinds[random.IntN(len(kinds))], Selector: random.IntN(1 << 16)}
 		f.For = minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
