serve: take no target of an unknown service before the first leader

Cause: after a start of all control instances nothing is committed until one of them leads, and none has heard of a version from the others. An instance without a committed document accepted targets of any service.

Change: it accepts those of the services that the newest document in its log names, and answers 503 to others until a document is committed.

Evidence: TestControlWithALogTakesNoUnknownService got 200 in place of 503 before.

--- a/serve/control.go
+++ b/serve/control.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,6 +105,8 @@
 	// of a configuration that one of them had.
 	othersHeard   atomic.Bool
 	othersVersion atomic.Uint64
+	// loggedSnapshot is decodeLogged, called once.
+	loggedSnapshot func() *catalog.Snapshot
 	// refusalLog bounds the lines about calls of targets that are refused.
 	refusalLog rate.Sometimes
 	// rowLog logs the rows of targets that other instances send and this one cannot use.
@@ -172,6 +175,7 @@
 		Limits:      control.Limits{ClaimRetain: c.settings.Control.ClaimRetain.AsDuration()},
 		Incarnation: c.incarnation, Seed: uint64(clock.Now()), CompactEntries: compactEntries,
 	}, c.folder, c.senders, c.logger)
+	c.loggedSnapshot = sync.OnceValue(c.decodeLogged)
 	c.roster = roster.New(clock.Now, missedHeartbeatLimit*f.HeartbeatInterval.AsDuration())
 	c.suspects = quarantine.NewBoard(c.incarnation, quarantine.NewEvidence(clock.Now, c.roster, c.logger))
 	c.watchServer = watch.NewServer(c.incarnation, c.voter, c.roster, c.suspects)
--- a/serve/control_api.go
+++ b/serve/control_api.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"auburnscale/catalog"
 	"auburnscale/clock"
 	"auburnscale/control"
 	"auburnscale/event"
@@ -69,6 +70,8 @@
 	switch {
 	case !c.caughtUp():
 		return errNotCaughtUp
+	case snapshot == nil && !c.loggedService(row.Service):
+		return errNotCaughtUp
 	case snapshot == nil || snapshot.Service(row.Service) != nil:
 		return nil
 	}
@@ -88,6 +91,27 @@
 	return heard && (committed || c.othersVersion.Load() == 0)
 }
 
+// loggedService reports whether the newest document in the log that this instance started with names the service, or
+// there is none. After a start of all control instances nothing is committed until one of them leads.
+func (c *Control) loggedService(name string) bool {
+	snapshot := c.loggedSnapshot()
+	return snapshot == nil || snapshot.Service(name) != nil
+}
+
+// decodeLogged decodes the newest document in the log that this instance started with. It returns nil if there is none, or
+// if it cannot be decoded, which is reported once it is committed.
+func (c *Control) decodeLogged() *catalog.Snapshot {
+	document := c.voter.LoggedDocument()
+	if document == nil {
+		return nil
+	}
+	snapshot, _, err := decodeDocument(document)
+	if err != nil {
+		return nil
+	}
+	return snapshot
+}
+
 // mergeTarget merges a row that a target sent, and logs what it changed. It returns false if the row is
 // outdated.
 func (c *Control) mergeTarget(row *peer.TargetRow) bool {
--- a/serve/poisoned_state_test.go
+++ b/serve/poisoned_state_test.go
@@ -286,3 +286,24 @@
 	f.replace(2, 7, "/next/")
 	f.awaitServed(10, "/next/")
 }
+
+// Guards against heartbeats of services that no configuration names (soak, seed 1): control instances that had all started
+// again accepted them until one of them led. Others are accepted, so that no time is lost.
+func TestControlWithALogTakesNoUnknownService(t *testing.T) {
+	f, target := newServingFleet(t)
+	for host := 1; host <= 3; host++ {
+		f.stop(fmt.Sprint("control", host))
+	}
+	f.startControl(1)
+	beat := func(id, service string) int {
+		body := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"d1","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":9,"born":1000}`, service, target.Address())
+		status, _, err := f.call(http.MethodPost, f.address(1, fleetOperatorPort), "/Instances.Heartbeat/"+id, body)
+		require.NoError(t, err)
+		return status
+	}
+	f.await("a target of the service is accepted", func() bool { return beat("e1", "desk") == http.StatusOK })
+	require.Nil(t, f.control(1).snapshot(), "nothing is committed without the others")
+	require.Equal(t, http.StatusServiceUnavailable, beat("odd", "nobody"))
+	f.startControl(2)
+	f.await("the configuration is known again", func() bool { return beat("odd", "nobody") == http.StatusBadRequest })
+}
--- a/soak/odd_callers.go
+++ b/soak/odd_callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 
 	"auburnscale/platform/standin"
 )
@@ -11,9 +12,13 @@
 const oddCallers = 12
 
 // callOddly lets callers close their sending side before they have a response, leave hardly any time, or ask for the
-// options of the server. None of them may get a success that no target gave.
+// options of the server. None of them may get a success that no target gave. An operator sends a configuration of version 0.
 func (r *faultRun) callOddly(ctx context.Context) {
-	e, i := r.env, r.entry()
+	e, i, control := r.env, r.entry(), r.control()
+	zero := standin.VersionZero()
+	if status, err := zero.Send(ctx, e.client(operatorHost), e.at(control.host, operatorPort).String()); err == nil && status < http.StatusBadRequest {
+		e.addFinding("odd calls are refused", "%s answered %s with status %d", control.name, zero, status)
+	}
 	for n := range oddCallers {
 		call := standin.OddRequestOf(r.fault.Selector + n)
 		call.ID, call.Host, call.Key = fmt.Sprintf("odd-%d-%d-%d", r.fault.Selector, r.fault.At.Milliseconds(), n), hostName, workspaceKey
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -156,6 +156,9 @@
 	leaderTerm       uint64
 	halted           bool
 
+	// loggedDocument is the newest document in the log that the voter started with, after its snapshot.
+	loggedDocument *peer.ReplaceDocument
+
 	mutex   sync.RWMutex
 	machine *control.Machine
 	changed chan struct{}
@@ -188,6 +191,11 @@
 		v.lastAppliedTerm = snapshot.Term
 		v.lastCompacted = snapshot.Index
 	}
+	for _, e := range entries {
+		if replace := e.GetCommand().GetReplace(); replace.GetVersion() > v.loggedDocument.GetVersion() {
+			v.loggedDocument = replace
+		}
+	}
 	random := rand.New(rand.NewPCG(config.Seed, config.ID))
 	v.node = quorum.New(quorum.Config{ID: config.ID, Voters: config.InitialVoters, Replicas: config.Replicas, Timing: config.Timing, Rand: random},
 		quorum.Restored{HardState: hard, Entries: entries, Snapshot: snapshot}, 0)
@@ -226,6 +234,10 @@
 
 func (v *Voter) ID() uint64 { return v.config.ID }
 
+// LoggedDocument returns the newest document in the log that the voter started with, or nil. It may not be committed: that is
+// known once a leader is in contact. The caller must not modify it.
+func (v *Voter) LoggedDocument() *peer.ReplaceDocument { return v.loggedDocument }
+
 // Incarnation returns the incarnation of this process.
 func (v *Voter) Incarnation() string { return v.config.Incarnation }
 
