--- a/serve/full_disk_test.go
+++ b/serve/full_disk_test.go
@@ -25,7 +25,8 @@
 	var paths []string
 	for _, name := range names {
 		path := filepath.Join(f.dir(host), name)
-		require.NoError(f.t, os.Symlink(fullDevice, path))
+		// The file exists while the instance is about to replace another one with it.
+		f.await("the file "+name+" is not in use", func() bool { return os.Symlink(fullDevice, path) == nil })
 		paths = append(paths, path)
 	}
 	probe := filepath.Join(f.dir(host), "probe")
