--- a/soak/odd_callers.go
+++ b/soak/odd_callers.go
@@ -11,7 +11,7 @@
 // oddCallers is the number of callers of one fault, each with a connection of its own.
 const oddCallers = 12
 
-// callOddly lets callers close their sending side before they have a response, leave hardly any time, or ask for the
+// callOddly sends requests of callers that close their sending side at once, set a tiny deadline, or ask for the
 // options of the server. None of them may get a success that no target gave. An operator sends a configuration of version 0.
 func (r *faultRun) callOddly(ctx context.Context) {
 	e, i, control := r.env, r.entry(), r.control()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -154,7 +154,7 @@
 	return planApart(rand.New(rand.NewPCG(seed, 7)), kinds, span)
 }
 
-// planProtocol draws the faults of protocolKinds: seeds with planned kinds only get odd callers only.
+// planProtocol draws the faults of protocolKinds: only OddCallers for seeds with planned kinds.
 func planProtocol(seed uint64, span time.Duration) []Fault {
 	kinds := protocolKinds
 	if seed%3 == 0 {
