--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -10,6 +10,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -23,6 +24,8 @@
 PROGRAM = os.path.join(ROOT, "target", "auburnscale")
 TEMPLATE = os.path.join(ROOT, "deploy", "settings.toml.tmpl")
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+LONGEST_S = 115  # a script ends by then, with everything that it started
+DESCRIPTORS = 8192  # for the clients that a script plays
 
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 8,
@@ -459,10 +462,18 @@
         worlds.append(World(folder, **options))
         return worlds[-1]
 
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(CANNOT_RUN))
+    signal.alarm(LONGEST_S)
     result = CANNOT_RUN
     try:
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if hard != resource.RLIM_INFINITY and hard < DESCRIPTORS:
+            raise CannotRun("a process may open %d files, %d are needed" % (hard, DESCRIPTORS))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
         result = case(make, trouble)
+    except SystemExit:
+        print("the case was ended")
     except CannotRun as error:
         print("the case cannot run: %s" % error)
         for world in worlds:
