--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -93,6 +93,8 @@
 
     def __init__(self, world, name, fields):
         self.world, self.name, self.fields, self.popen = world, name, fields, None
+        # The core that the process stays on, as on the users' platform; None for any.
+        self.core = None
         self.file = os.path.join(world.folder, name + ".toml")
         self.log = os.path.join(world.folder, name + ".log")
 
@@ -104,6 +106,7 @@
         with open(self.log, "ab") as log:
             self.popen = subprocess.Popen(
                 [PROGRAM, "serve"], cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                preexec_fn=None if self.core is None else lambda: os.sched_setaffinity(0, {self.core}),
                 env={"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", ""), "AUBURNSCALE_BOOT": self.file})
 
     def restart(self):
@@ -123,6 +126,12 @@
     def alive(self):
         return self.popen is not None and self.popen.poll() is None
 
+    def processor_s(self):
+        """Returns the processor time that the process has used."""
+        with open("/proc/%d/stat" % self.popen.pid, encoding="utf-8") as stat:
+            fields = stat.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def memory_mb(self, field="VmHWM"):
         """Returns the resident memory, the highest so far by default, in MB."""
         try:
@@ -277,6 +286,40 @@
         raise CannotRun("%s is not ready" % process.name)
 
 
+class Quota:
+    """Gives a process its share of one core as a quota: it runs until that is used up, and then not at all for the rest
+    of that tenth of a second."""
+
+    PERIOD_S, LOOK_S = 0.1, 0.004
+
+    def __init__(self, process):
+        self.process, self.share, self.ended = process, process.fields["limits"]["cpuShare"], False
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def used(self):
+        # The clock of a process, as clock_getcpuclockid returns it.
+        return time.clock_gettime((~self.process.popen.pid << 3) | 2)
+
+    def run(self):
+        try:
+            while not self.ended:
+                period_end, allowed = time.monotonic() + self.PERIOD_S, self.used() + self.share * self.PERIOD_S
+                while time.monotonic() < period_end:
+                    if self.used() >= allowed:
+                        self.process.signal(signal.SIGSTOP)
+                        time.sleep(max(0, period_end - time.monotonic()))
+                        self.process.signal(signal.SIGCONT)
+                        break
+                    time.sleep(self.LOOK_S)
+        except OSError:
+            pass
+
+    def close(self):
+        self.ended = True
+        self.thread.join(1)
+
+
 class Request:
     """A request that a stand-in got."""
 
